--- a/cmd/dandelionmux/main.go
+++ b/cmd/dandelionmux/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	dandelionmux serve -settings FILE
+//	dandelionmux platform
 //	dandelionmux demo [-keep]
 //	dandelionmux check -settings FILE
 //	dandelionmux version
@@ -43,6 +44,7 @@
 const usage = `dandelionmux is one instance of a proxy fleet.
 
   dandelionmux serve    run an instance until SIGTERM
+  dandelionmux platform run an instance on the platform, with its settings file
   dandelionmux demo     run a small fleet with all around it, break it, and
                         print what held; with -keep it goes on running
   dandelionmux check    check the settings and exit
@@ -64,6 +66,8 @@
 	switch command {
 	case "serve":
 		return serve(rest, out, problems)
+	case "platform":
+		return runPlatform(out, problems)
 	case "demo":
 		return runDemo(rest, out, problems)
 	case "check":
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/internal/control"
 	"dandelionmux/internal/dispatch"
 	"dandelionmux/internal/entry"
@@ -44,6 +45,7 @@
 	settings settings.Settings
 	logger   *slog.Logger
 	began    time.Time
+	booted   time.Duration
 	self     instance.Info
 	registry metrics.Registry
 
@@ -93,6 +95,7 @@
 		settings: s,
 		logger:   slog.New(slog.DiscardHandler),
 		began:    time.Now(),
+		booted:   boot.Now(),
 		registry: metrics.NewRegistry(),
 		left:     make(chan struct{}),
 		failed:   make(chan error, 1),
@@ -130,8 +133,9 @@
 // Current implements entry.Snapshots.
 func (d *Daemon) Current() *entry.Snapshot { return d.snapshot.Load() }
 
-// clock is monotonic time since the start.
-func (d *Daemon) clock() time.Duration { return time.Since(d.began) }
+// clock is time since the start, counting the time that the machine was
+// suspended: leases of others went on meanwhile.
+func (d *Daemon) clock() time.Duration { return boot.Now() - d.booted }
 
 // listen opens all listeners, or none.
 func (d *Daemon) listen() error {
--- a/internal/daemon/publish.go
+++ b/internal/daemon/publish.go
@@ -143,5 +143,5 @@
 	d.snapshot.Store(&next)
 }
 
-// at turns a time of the daemon's clock into a time of the system's.
-func (d *Daemon) at(t time.Duration) time.Time { return d.began.Add(t) }
+// at turns a time of the daemon's clock into a time of the boot clock.
+func (d *Daemon) at(t time.Duration) time.Duration { return d.booted + t }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -118,7 +118,7 @@
 }
 
 // Retry implements entry.Dispatch.
-func (d *Dispatcher) Retry(name string, failed retry.Attempt) bool {
+func (d *Dispatcher) Retry(_ context.Context, name string, failed retry.Attempt) bool {
 	s, ok := (*d.services.Load())[name]
 	if !ok {
 		return false
@@ -144,6 +144,9 @@
 	p.service.observe(p, e)
 }
 
+// Patience implements entry.Slot; the handler decides.
+func (p *slot) Patience() time.Duration { return 0 }
+
 // exclude turns names into the form that tables take.
 func exclude(names []string) [2]string {
 	var out [2]string
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -48,7 +48,7 @@
 			refusal: unknownRefusal(reason),
 		}
 	}
-	if shed(r.Response) {
+	if p.exchange.handler.dialect.shed(r.Response) {
 		a.end(target.Shed)
 		return failed{
 			outcome: target.Shed,
@@ -93,15 +93,18 @@
 
 // unusable returns why the answer can't be the caller's, or nothing.
 func (a *answer) unusable(id string) string {
-	echoes := a.response.Header.Values(RequestHeader)
+	d := a.placed.exchange.handler.dialect
+	echoes := a.response.Header.Values(d.Request)
 	switch {
 	case len(echoes) > 1:
 		return "answer-crossed"
 	case len(echoes) == 1 && echoes[0] != id:
 		return "answer-crossed"
+	case d.Signature != "" && a.response.StatusCode < 300 && a.response.Header.Get(d.Signature) == "":
+		return "answer-unsigned"
 	case a.placed.exchange.request.Method == http.MethodHead:
 		return ""
-	case a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0:
+	case !d.Unframed && a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0:
 		// Where the connection's end ends the body, a short one looks whole.
 		return "answer-without-length"
 	}
@@ -109,8 +112,14 @@
 }
 
 // shed tells whether the target says that it ran nothing.
-func shed(r *http.Response) bool {
-	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(ShedHeader) == "true"
+func (d Dialect) shed(r *http.Response) bool {
+	if d.Expect != "" && r.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	if d.StatusPromises {
+		return r.StatusCode >= http.StatusBadRequest && r.Header.Get(d.Shed) != ""
+	}
+	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(d.Shed) == "true"
 }
 
 func shedRefusal(r *http.Response) *Refusal {
@@ -159,7 +168,17 @@
 		a.drop()
 	}
 	_ = a.response.Body.Close()
-	a.placed.done(outcome, a.response.Header.Get(DrainHeader) != "")
+	a.placed.done(Ended{
+		Outcome:   outcome,
+		Elsewhere: a.response.StatusCode == http.StatusMisdirectedRequest,
+		Draining:  a.draining(),
+	})
+}
+
+// draining tells whether the target says that it is leaving.
+func (a *answer) draining() bool {
+	drain := a.placed.exchange.handler.dialect.Drain
+	return drain != "" && a.response.Header.Get(drain) != ""
 }
 
 // discard ends an answer that another attempt replaces. A nil answer is none.
@@ -194,11 +213,22 @@
 // writeHead sends the answer's status and headers.
 func (x *exchange) writeHead(a *answer) {
 	dropHopHeaders(a.response.Header)
+	d := x.handler.dialect
+	kept := map[string]string{}
+	if d.CallerIDs {
+		kept[d.Request] = x.id
+	}
+	if d.Signature != "" && a.response.Header.Get(d.Signature) != "" {
+		kept[d.Signature] = a.response.Header.Get(d.Signature)
+	}
 	dropFleetHeaders(a.response.Header)
 	h := x.writer.Header()
 	for name, values := range a.response.Header {
 		h[name] = values
 	}
+	for name, value := range kept {
+		h.Set(name, value)
+	}
 	if a.whole && x.request.Method != http.MethodHead && len(a.held) > 0 {
 		h.Set("Content-Length", strconv.Itoa(len(a.held)))
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,8 @@
 const (
 	// maximumAttempts bounds the attempts of one request.
 	maximumAttempts = 3
+	// maximumUnsent bounds the further attempts that reached no target.
+	maximumUnsent = 3
 	// firstAttemptPercent is the part of the time left that the first attempt
 	// of a repeatable request may take, so that a hanging target leaves time
 	// for another.
@@ -61,6 +63,9 @@
 			return e.answer, nil
 		case failed:
 			x.ran = x.ran || e.ran
+			if e.outcome != target.Refused {
+				x.sendings++
+			}
 			if x.again(ctx, n, e) {
 				e.fallback.discard()
 				continue
@@ -79,18 +84,26 @@
 		return false
 	}
 	switch {
-	case n >= maximumAttempts, ctx.Err() != nil, e.outcome == target.Cancelled:
+	case x.sendings >= x.maximumSendings(), n >= maximumAttempts+maximumUnsent, ctx.Err() != nil, e.outcome == target.Cancelled:
 		return false
 	case e.ran && !x.repeatable:
 		return false
 	}
-	return x.handler.ports.Dispatch.Retry(x.route.Service, retry.Attempt{
+	return x.handler.ports.Dispatch.Retry(ctx, x.service, retry.Attempt{
 		Number:     n,
 		Outcome:    e.outcome,
 		Repeatable: x.repeatable,
 	})
 }
 
+// maximumSendings bounds the targets that one request is sent to.
+func (x *exchange) maximumSendings() int {
+	if x.route.Attempts > 0 {
+		return x.route.Attempts
+	}
+	return maximumAttempts
+}
+
 // crashAgain counts a strike and asks whether the request may run once more.
 func (x *exchange) crashAgain(ctx context.Context, target string) bool {
 	x.leave(target)
@@ -116,7 +129,7 @@
 	slot, err := x.handler.ports.Dispatch.Acquire(ctx, Want{
 		Organisation: x.organisation,
 		Route:        x.route,
-		Service:      x.route.Service,
+		Service:      x.service,
 		Cost:         x.route.Units(),
 		Repeatable:   x.repeatable,
 		Avoid:        x.tried,
@@ -141,12 +154,12 @@
 	x.handler.meters.attempts.Inc(1)
 	x.logAttempt(slot.Target().Name, n)
 	// The answer's body is read after this function, under this context too.
-	ctx, cancel := x.attemptContext(ctx, n)
+	ctx, cancel := x.attemptContext(ctx, n, slot.Patience())
 	p := &placed{
 		exchange: x,
 		slot:     slot,
 		began:    time.Now(),
-		id:       x.id + "-" + strconv.Itoa(n),
+		id:       x.attemptID(n),
 		cancel:   cancel,
 	}
 	return p.send(ctx)
@@ -165,17 +178,36 @@
 
 // attemptContext leaves time for a second attempt where one is allowed, and
 // ends with the permit.
-func (x *exchange) attemptContext(ctx context.Context, n int) (context.Context, context.CancelFunc) {
+func (x *exchange) attemptContext(ctx context.Context, n int, patience time.Duration) (context.Context, context.CancelFunc) {
 	limit := x.deadline
-	if x.repeatable && n == 1 {
+	switch {
+	case !x.repeatable || x.sendings+1 >= x.maximumSendings():
+	case patience > 0:
+		limit = earlier(limit, time.Now().Add(patience))
+	case n == 1:
 		limit = time.Now().Add(time.Until(limit) * firstAttemptPercent / 100)
 	}
-	if until := x.permit.Until(); !until.IsZero() && until.Before(limit) {
-		limit = until
+	if until := x.permit.Until(); !until.IsZero() {
+		limit = earlier(limit, until)
 	}
 	return context.WithDeadline(ctx, limit)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// attemptID is the id that the target echoes.
+func (x *exchange) attemptID(n int) string {
+	if x.handler.dialect.CallerIDs {
+		return x.id
+	}
+	return x.id + "-" + strconv.Itoa(n)
+}
+
 // gate is asked just before the first byte of an attempt goes out. What it
 // checks comes after its own wait, so that nothing is older than that.
 func (x *exchange) gate(ctx context.Context) error {
@@ -237,20 +269,19 @@
 		return p.judge(ctx, r)
 	case forward.Failed:
 		e := p.explain(ctx, r.Err)
-		p.done(e.outcome, false)
+		p.done(Ended{
+			Outcome: e.outcome,
+		})
 		return e
 	}
 	return nil
 }
 
 // done gives the slot back.
-func (p *placed) done(outcome target.Outcome, draining bool) {
+func (p *placed) done(e Ended) {
 	p.cancel()
-	p.slot.Done(Ended{
-		Outcome:  outcome,
-		Latency:  time.Since(p.began),
-		Draining: draining,
-	})
+	e.Latency = time.Since(p.began)
+	p.slot.Done(e)
 }
 
 // outgoing makes the request of this attempt.
@@ -262,9 +293,13 @@
 		Host:   x.out.Host,
 		Header: x.out.Header.Clone(),
 	}
-	out.Header.Set(RequestHeader, p.id)
+	d := x.handler.dialect
+	out.Header.Set(d.Request, p.id)
+	if d.Expect != "" {
+		out.Header.Set(d.Expect, p.slot.Target().Name)
+	}
 	left := max(time.Until(x.deadline).Milliseconds(), 1)
-	out.Header.Set(TimeoutHeader, strconv.FormatInt(left, 10))
+	out.Header.Set(d.Timeout, strconv.FormatInt(left, 10))
 	if len(x.body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(x.body))
 		out.ContentLength = int64(len(x.body))
@@ -294,7 +329,7 @@
 		return failed{
 			outcome: target.Crashed,
 			ran:     true,
-			crashed: p.slot.Target().Address,
+			crashed: p.slot.Target().Name,
 			refusal: unknownRefusal("target-connection-died"),
 		}
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/standin"
 )
@@ -286,7 +286,7 @@
 	is := is.New(t)
 	w := newWorld(t, 1)
 	expired := *w.Current()
-	expired.TrustedUntil = time.Now()
+	expired.TrustedUntil = boot.Now()
 	for _, s := range []*entry.Snapshot{{}, &expired} {
 		w.snapshot.Store(s)
 		got := w.call(http.MethodPost, "/bookings", "", execution("e1"))
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,6 +26,7 @@
 	// out is the request as targets get it, without its body.
 	out          *http.Request
 	route        *document.Route
+	service      string
 	organisation string
 	digest       document.KeyDigest
 	body         []byte
@@ -35,6 +37,8 @@
 	claim  Claim
 	permit Permit
 
+	// sendings counts the attempts that may have reached a target.
+	sendings int
 	// tried names the targets of earlier attempts.
 	tried []string
 	// spent is set once the grant was spent.
@@ -105,6 +109,7 @@
 		}
 	}
 	x.route = route
+	x.service = route.Pick(rand.Float64())
 	x.repeatable = route.Repeats(r.Method)
 	return nil
 }
@@ -135,7 +140,7 @@
 		return refusal
 	}
 	x.organisation = organisation
-	x.out.Header.Set(OrganisationHeader, organisation)
+	x.out.Header.Set(x.handler.dialect.Organisation, organisation)
 	return nil
 }
 
@@ -145,7 +150,7 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	if asked, ok := askedTimeout(x.request); ok && asked < timeout {
+	if asked, ok := x.askedTimeout(); ok && asked < timeout {
 		timeout = asked
 	}
 	x.deadline = x.began.Add(timeout)
@@ -215,7 +220,7 @@
 	if x.route.Open {
 		return nil
 	}
-	grant, err := x.handler.ports.Admission.Admit(ctx, x.organisation, x.route.Units())
+	grant, err := x.handler.ports.Admission.Admit(ctx, x.organisation, x.service, x.route.Units())
 	if err != nil {
 		return err
 	}
@@ -292,16 +297,16 @@
 // the caller's connection is cut instead, so that the answer can't look whole.
 func (x *exchange) refuse(r *Refusal) {
 	x.handler.meters.refused(r)
-	x.log("refused", r.Reason, 0)
+	x.log("refused", r.Reason, r.statusIn(x.handler.dialect))
 	if x.started {
 		panic(http.ErrAbortHandler)
 	}
-	r.write(x.writer)
+	r.write(x.writer, x.handler.dialect)
 }
 
 // askedTimeout is the bound that the caller set.
-func askedTimeout(r *http.Request) (time.Duration, bool) {
-	text := r.Header.Get(TimeoutHeader)
+func (x *exchange) askedTimeout() (time.Duration, bool) {
+	text := x.request.Header.Get(x.handler.dialect.Timeout)
 	if text == "" {
 		return 0, false
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -33,6 +33,7 @@
 type Handler struct {
 	ports     Ports
 	client    *forward.Client
+	dialect   Dialect
 	logger    *slog.Logger
 	decisions bool
 	maximum   int64
@@ -79,6 +80,7 @@
 	h := &Handler{
 		ports:     ports,
 		logger:    slog.New(slog.DiscardHandler),
+		dialect:   DefaultDialect(),
 		decisions: true,
 		maximum:   DefaultRequests,
 		registry:  metrics.NewRegistry(),
@@ -119,7 +121,7 @@
 		handler:  h,
 		writer:   w,
 		request:  r,
-		id:       h.identity + "-" + strconv.FormatUint(h.sequence.Add(1), 36),
+		id:       h.requestID(r),
 		began:    time.Now(),
 		snapshot: h.ports.Snapshots.Current(),
 	}
@@ -129,6 +131,15 @@
 	return x
 }
 
+// requestID names a request: with the caller's own id where the dialect has
+// one, else with a fresh one.
+func (h *Handler) requestID(r *http.Request) string {
+	if h.dialect.CallerIDs {
+		return r.Header.Get(h.dialect.Request)
+	}
+	return h.identity + "-" + strconv.FormatUint(h.sequence.Add(1), 36)
+}
+
 // asRefusal turns any error of a step into a refusal. What is not known to
 // have run nothing may have run.
 func asRefusal(err error) *Refusal {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -15,7 +15,7 @@
 		slog.String("Request", x.id),
 		slog.String("Organisation", x.organisation),
 		slog.String("Route", x.route.Name),
-		slog.String("Service", x.route.Service),
+		slog.String("Service", x.service),
 		slog.String("Target", target),
 		slog.Int("Attempt", n))
 }
@@ -27,7 +27,7 @@
 	}
 	route, service := "", ""
 	if x.route != nil {
-		route, service = x.route.Name, x.route.Service
+		route, service = x.route.Name, x.service
 	}
 	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, what,
 		slog.String("Request", x.id),
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
@@ -15,16 +16,17 @@
 	Index *document.Index
 	// KeyLocations are all places where some route takes a key.
 	KeyLocations []document.KeyLocation
-	// TrustedUntil is when the document can't be trusted any more, unless a
-	// newer snapshot comes before. A paused process finds it past.
-	TrustedUntil time.Time
+	// TrustedUntil is when the document can't be trusted any more, on the boot
+	// clock, unless a newer snapshot comes before. A process that was paused or
+	// suspended finds it past.
+	TrustedUntil time.Duration
 	// Leaving is set during a graceful stop.
 	Leaving bool
 }
 
 // Ready reports whether the instance may admit requests now.
 func (s *Snapshot) Ready() bool {
-	return s.Index != nil && time.Now().Before(s.TrustedUntil)
+	return s.Index != nil && boot.Now() < s.TrustedUntil
 }
 
 // Snapshots gives the newest snapshot. It is safe for concurrent use.
@@ -47,7 +49,7 @@
 // Admission decides whether a request is within its organisation's rate.
 type Admission interface {
 	// Admit returns a grant, or a *Refusal as error.
-	Admit(ctx context.Context, organisation string, cost int) (Grant, error)
+	Admit(ctx context.Context, organisation, service string, cost int) (Grant, error)
 }
 
 // ClaimKey names a request that callers may send again under the same
@@ -85,6 +87,8 @@
 	Outcome target.Outcome
 	// Latency is from the attempt's begin to the end of its answer.
 	Latency time.Duration
+	// Elsewhere is set if another target answered at the address.
+	Elsewhere bool
 	// Draining is set if the target said that it is leaving.
 	Draining bool
 }
@@ -93,6 +97,9 @@
 type Slot interface {
 	// Target is where the attempt goes.
 	Target() document.Target
+	// Patience is how long a repeatable request waits here before it is tried
+	// elsewhere; zero leaves it to the handler.
+	Patience() time.Duration
 	// Done ends the attempt. It is called once.
 	Done(Ended)
 }
@@ -118,7 +125,7 @@
 	Acquire(ctx context.Context, want Want) (Slot, error)
 	// Retry reports whether a failed attempt may be followed by another, and
 	// pays for it from the service's budget.
-	Retry(service string, failed retry.Attempt) bool
+	Retry(ctx context.Context, service string, failed retry.Attempt) bool
 }
 
 // Identity is what makes two requests the same.
@@ -143,7 +150,7 @@
 
 // Run is how a permitted run ended.
 type Run struct {
-	// Crashed is the address of the target whose connection died while it ran
+	// Crashed is the name of the target whose connection died while it ran
 	// the request; empty if none did.
 	Crashed string
 	// Answered is set if a whole answer came.
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -71,7 +71,7 @@
 }
 
 // write sends the refusal to the caller.
-func (r *Refusal) write(w http.ResponseWriter) {
+func (r *Refusal) write(w http.ResponseWriter, d Dialect) {
 	h := w.Header()
 	h.Set(OutcomeHeader, r.outcome())
 	h.Set(ReasonHeader, r.Reason)
@@ -80,13 +80,30 @@
 		h.Set(FirstHeader, r.First)
 	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(seconds(r.RetryAfter)))
+		h.Set("Retry-After", retryAfter(r.RetryAfter, d))
 	}
-	w.WriteHeader(r.Status)
+	w.WriteHeader(r.statusIn(d))
 	_, _ = io.WriteString(w, r.Reason+", "+r.outcome()+"\n")
 }
 
-// seconds rounds up to whole seconds, as Retry-After counts.
-func seconds(d time.Duration) int {
-	return int(math.Ceil(d.Seconds()))
+// statusIn is the status that says no more than is known: where callers take
+// some statuses for a promise, a request that may have run gets none of them.
+func (r *Refusal) statusIn(d Dialect) int {
+	if !d.StatusPromises || !r.MayHaveRun {
+		return r.Status
+	}
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return r.Status
+}
+
+// retryAfter writes a wait as Retry-After counts it, rounded up.
+func retryAfter(wait time.Duration, d Dialect) string {
+	if d.FractionalRetryAfter {
+		return strconv.FormatFloat(math.Ceil(wait.Seconds()*100)/100, 'f', -1, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
 }
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/internal/dispatch"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/standin"
@@ -175,7 +176,7 @@
 	w.snapshot.Store(&entry.Snapshot{
 		Index:        document.NewIndex(w.document),
 		KeyLocations: locations,
-		TrustedUntil: time.Now().Add(time.Hour),
+		TrustedUntil: boot.Now() + time.Hour,
 	})
 }
 
@@ -257,7 +258,7 @@
 	returned atomic.Int64
 }
 
-func (f *fakeAdmission) Admit(context.Context, string, int) (entry.Grant, error) {
+func (f *fakeAdmission) Admit(context.Context, string, string, int) (entry.Grant, error) {
 	f.admitted.Add(1)
 	return f, nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,6 +38,11 @@
 	return func(c *Client) { c.transport.IdleConnTimeout = d }
 }
 
+// WithDialTimeout bounds the setting up of a connection.
+func WithDialTimeout(d time.Duration) Option {
+	return func(c *Client) { c.dialer.Timeout = d }
+}
+
 // New returns a Client.
 func New(options ...Option) *Client {
 	c := &Client{
--- /dev/null
+++ b/internal/gateway/ask.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
+)
+
+// askWaits are how long an ask waits for its verdict before it is sent again;
+// after the last the keeper counts as silent. A datagram takes under a
+// millisecond, but an instance may have used up its part of a core for the rest
+// of a tenth of a second.
+var askWaits = [...]time.Duration{60 * time.Millisecond, 140 * time.Millisecond}
+
+// askKeepers is how many keepers are tried before an instance decides alone.
+const askKeepers = 2
+
+// asks pairs verdicts with the asks that wait for them.
+type asks struct {
+	number  atomic.Uint64
+	mu      sync.Mutex
+	waiting map[uint64]chan verdict
+}
+
+func newAsks() *asks {
+	return &asks{
+		waiting: map[uint64]chan verdict{},
+	}
+}
+
+func (a *asks) add() (uint64, chan verdict) {
+	number, answers := a.number.Add(1), make(chan verdict, 1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting[number] = answers
+	return number, answers
+}
+
+func (a *asks) forget(number uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.waiting, number)
+}
+
+// answer gives a verdict to the ask that waits for it, if one does.
+func (a *asks) answer(v verdict) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answers, ok := a.waiting[v.Number]; ok {
+		delete(a.waiting, v.Number)
+		answers <- v
+	}
+}
+
+// ask asks the zone's keeper, or decides alone if none can be reached.
+func (g *Gateway) ask(ctx context.Context, k kind, name string, amount int) meter.Verdict {
+	for range askKeepers {
+		keeper := g.keeper(k, name)
+		if keeper == g.self.Address {
+			return g.decide(ask{
+				Kind:   k,
+				Name:   name,
+				Amount: amount,
+			})
+		}
+		if v, ok := g.askKeeper(ctx, keeper, k, name, amount); ok {
+			return v
+		}
+		if ctx.Err() != nil {
+			return meter.Verdict{}
+		}
+		g.belief.hush(keeper, k.String()+" "+name)
+	}
+	return g.decideAlone(k, name, amount)
+}
+
+func (g *Gateway) keeper(k kind, name string) instance.Address {
+	var keeper instance.Address
+	g.belief.look(func() { keeper = g.belief.roster.Keeper(k.String(), name, g.belief.quiet) })
+	return keeper
+}
+
+func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, k kind, name string, amount int) (meter.Verdict, bool) {
+	number, answers := g.asks.add()
+	defer g.asks.forget(number)
+	for _, wait := range askWaits {
+		g.send(keeper, ask{
+			Number: number,
+			Kind:   k,
+			Name:   name,
+			Amount: amount,
+		})
+		timer := time.NewTimer(wait)
+		select {
+		case v := <-answers:
+			timer.Stop()
+			return v.Verdict, true
+		case <-ctx.Done():
+			timer.Stop()
+			return meter.Verdict{}, false
+		case <-timer.C:
+		}
+	}
+	return meter.Verdict{}, false
+}
+
+// decide is the keeper's decision.
+func (g *Gateway) decide(a ask) meter.Verdict {
+	b := g.belief
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	zones := b.roster.Zones(g.settings.Zones)
+	now := boot.Now()
+	if a.Kind == budget {
+		return meter.Verdict{
+			Granted: b.budget.Ask(now, a.Name, a.Amount, zones.Part),
+		}
+	}
+	r, ok := b.rateOf(a.Name)
+	if !ok {
+		return meter.Verdict{
+			Granted: true,
+		}
+	}
+	return b.rates.Ask(now, r, a.Amount, zones)
+}
+
+// decideAlone stands in for a keeper that can't be reached: an even part of each
+// rate, and no retries.
+func (g *Gateway) decideAlone(k kind, name string, amount int) meter.Verdict {
+	b := g.belief
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g.logger.Warn("decided without a keeper",
+		slog.String("Kind", k.String()),
+		slog.String("Name", name),
+		slog.Int("Members", b.roster.Len()))
+	if k == budget {
+		return meter.Verdict{}
+	}
+	r, ok := b.rateOf(name)
+	if !ok {
+		return meter.Verdict{
+			Granted: true,
+		}
+	}
+	return b.own.Ask(boot.Now(), r, amount, meter.Zones{
+		Part:  1 / float64(b.roster.Len()),
+		Count: 1,
+	})
+}
+
+// rateOf finds an organisation's rate. The lock is held.
+func (b *belief) rateOf(organisation string) (document.Rate, bool) {
+	if b.index == nil {
+		return document.Rate{}, false
+	}
+	return b.index.Rate(organisation)
+}
+
+// tellDemands tells the keepers in other zones about busy organisations.
+func (g *Gateway) tellDemands() {
+	b := g.belief
+	to := map[instance.Address][]meter.Demand{}
+	b.look(func() {
+		list := b.rates.Demands(boot.Now(), b.rateOf, b.roster.Zones(g.settings.Zones))
+		for _, d := range list {
+			if b.roster.Keeper(rate.String(), d.Organisation, b.quiet) != g.self.Address {
+				continue
+			}
+			for _, envoy := range b.roster.Envoys(rate.String(), d.Organisation, b.quiet) {
+				to[envoy] = append(to[envoy], d)
+			}
+		}
+	})
+	for envoy, list := range to {
+		g.send(envoy, demands{
+			List: list,
+		})
+	}
+}
+
+// hearDemands takes in what another zone told.
+func (g *Gateway) hearDemands(m demands) {
+	b := g.belief
+	b.look(func() {
+		for _, d := range m.List {
+			if r, ok := b.rateOf(d.Organisation); ok {
+				b.rates.Hear(boot.Now(), r, d, b.roster.Zones(g.settings.Zones))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/internal/entry"
+	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/outlier"
+	"dandelionmux/pkg/quarantine"
+	"dandelionmux/pkg/retry"
+	"dandelionmux/pkg/target"
+)
+
+// Limits of patience with a target.
+const (
+	// patienceFactor times the usual latency of a route is too long. One request
+	// in a hundred takes three to five times as long by itself.
+	patienceFactor = 4
+	// patienceLeast is the shortest patience.
+	patienceLeast = 500 * time.Millisecond
+	// usualSamples is how many answers make a usual latency.
+	usualSamples = 5
+	// usualWeight is the weight of a new sample in the average.
+	usualWeight = 0.1
+	// noTargetRetry is when callers of a service without targets come back.
+	noTargetRetry = time.Second
+)
+
+// service is what the instance holds of one service. The belief's lock guards it.
+type service struct {
+	name  string
+	table *outlier.Table
+	// usual is the usual latency by route.
+	usual map[string]*usual
+	// begun are the requests begun since the last ask for a retry.
+	begun int
+	since time.Duration
+}
+
+// usual is a running average of latencies.
+type usual struct {
+	mean    time.Duration
+	samples int
+}
+
+func (u *usual) add(d time.Duration) {
+	u.samples++
+	if u.samples <= usualSamples {
+		u.mean += (d - u.mean) / time.Duration(u.samples)
+		return
+	}
+	u.mean += time.Duration(usualWeight * float64(d-u.mean))
+}
+
+// patience is zero while too little is known.
+func (u *usual) patience() time.Duration {
+	if u == nil || u.samples < usualSamples {
+		return 0
+	}
+	return max(patienceFactor*u.mean, patienceLeast)
+}
+
+// dispatch implements entry.Dispatch.
+type dispatch struct{ gateway *Gateway }
+
+// Acquire implements entry.Dispatch.
+func (d dispatch) Acquire(_ context.Context, want entry.Want) (entry.Slot, error) {
+	g := d.gateway
+	b := g.belief
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := boot.Now()
+	s := b.services[want.Service]
+	var chosen document.Target
+	ok := false
+	if s != nil {
+		chosen, ok = s.table.Choose(now, outlier.Request{
+			Repeatable: want.Repeatable,
+			Avoid:      want.Avoid,
+		})
+	}
+	if !ok {
+		return nil, &entry.Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "no-target",
+			RetryAfter: noTargetRetry,
+		}
+	}
+	if len(want.Avoid) == 0 {
+		s.begin(now, g.settings.RetryWindow)
+	}
+	patience := s.usual[want.Route.Name].patience()
+	p := &place{
+		gateway:  g,
+		service:  want.Service,
+		route:    want.Route.Name,
+		target:   chosen,
+		patience: patience,
+	}
+	if patience > 0 {
+		p.timer = time.AfterFunc(patience, p.suspect)
+	}
+	return p, nil
+}
+
+// begin counts a request for the retry budget, as long as it counts there.
+func (s *service) begin(now, window time.Duration) {
+	if now-s.since > window {
+		s.begun = 0
+		s.since = now
+	}
+	s.begun++
+}
+
+// Retry implements entry.Dispatch. An attempt that reached no target costs
+// nothing.
+func (d dispatch) Retry(ctx context.Context, name string, failed retry.Attempt) bool {
+	if failed.Outcome == target.Refused {
+		return true
+	}
+	g := d.gateway
+	begun := 0
+	g.belief.look(func() {
+		if s := g.belief.services[name]; s != nil {
+			begun, s.begun, s.since = s.begun, 0, boot.Now()
+		}
+	})
+	granted := g.ask(ctx, budget, name, begun).Granted
+	g.logger.Info("retry asked for",
+		slog.String("Service", name),
+		slog.String("Outcome", failed.Outcome.String()),
+		slog.Int("Attempt", failed.Number),
+		slog.Bool("Granted", granted))
+	if !granted {
+		g.count("Retry.Unpaid")
+	}
+	return granted
+}
+
+// place implements entry.Slot.
+type place struct {
+	gateway  *Gateway
+	service  string
+	route    string
+	target   document.Target
+	patience time.Duration
+	timer    *time.Timer
+}
+
+// Target implements entry.Slot.
+func (p *place) Target() document.Target { return p.target }
+
+// Patience implements entry.Slot.
+func (p *place) Patience() time.Duration { return p.patience }
+
+// suspect takes a target whose answer is overdue out of use, while the request
+// goes on there.
+func (p *place) suspect() {
+	g := p.gateway
+	news := false
+	g.belief.look(func() {
+		if s := g.belief.services[p.service]; s != nil {
+			news = s.table.Heard(boot.Now(), p.target.Name, target.TimedOut)
+		}
+	})
+	if news {
+		g.tell(p.service, p.target.Name, target.TimedOut)
+	}
+}
+
+// Done implements entry.Slot.
+func (p *place) Done(e entry.Ended) {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	g := p.gateway
+	news := false
+	outcome := e.Outcome
+	if e.Elsewhere {
+		outcome = target.Refused
+	}
+	g.belief.look(func() {
+		s := g.belief.services[p.service]
+		if s == nil {
+			return
+		}
+		news = s.table.Done(boot.Now(), p.target.Name, outcome)
+		if outcome == target.Succeeded {
+			u := s.usual[p.route]
+			if u == nil {
+				u = &usual{}
+				s.usual[p.route] = u
+			}
+			u.add(e.Latency)
+		}
+	})
+	if news {
+		g.tell(p.service, p.target.Name, outcome)
+	}
+}
+
+// tell tells all instances of a failure: those of the own zone directly, and one
+// of each other zone, which passes it on.
+func (g *Gateway) tell(service, name string, outcome target.Outcome) {
+	m := failure{
+		Service: service,
+		Target:  name,
+		Outcome: outcome,
+	}
+	g.logger.Info("target failed",
+		slog.String("Service", service),
+		slog.String("Target", name),
+		slog.String("Outcome", outcome.String()))
+	g.count("Target.Failure." + outcome.String())
+	g.tellZone(m)
+	var far []instance.Address
+	g.belief.look(func() {
+		far = g.belief.roster.Envoys("news", name, g.belief.quiet)
+	})
+	m.Pass = true
+	for _, a := range far {
+		g.send(a, m)
+	}
+}
+
+// tellZone tells all other instances of the zone.
+func (g *Gateway) tellZone(m failure) {
+	var mates []instance.Address
+	g.belief.look(func() { mates = g.belief.zoneMates("") })
+	for _, a := range mates {
+		g.send(a, m)
+	}
+}
+
+// zoneMates are the other instances of the zone but one. The lock is held.
+func (b *belief) zoneMates(but instance.Address) []instance.Address {
+	var list []instance.Address
+	for _, m := range b.roster.Own() {
+		if m.Address != b.gateway.self.Address && m.Address != but {
+			list = append(list, m.Address)
+		}
+	}
+	return list
+}
+
+// hear takes in another instance's failure.
+func (g *Gateway) hear(from instance.Address, m failure) {
+	now := boot.Now()
+	var mates []instance.Address
+	out := false
+	g.belief.look(func() {
+		if s := g.belief.services[m.Service]; s != nil {
+			s.table.Heard(now, m.Target, m.Outcome)
+			out = s.table.Ejected(now, m.Target)
+		}
+		if m.Suspect != (quarantine.Fingerprint{}) {
+			g.belief.tally.Strike(now, m.Suspect, m.Target)
+		}
+		if m.Pass {
+			mates = g.belief.zoneMates(from)
+		}
+	})
+	g.count("Target.Heard")
+	g.logger.Debug("failure heard",
+		slog.String("From", string(from)),
+		slog.String("Target", m.Target),
+		slog.String("Outcome", m.Outcome.String()),
+		slog.Bool("Out", out))
+	m.Pass = false
+	for _, a := range mates {
+		g.send(a, m)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/internal/entry"
+	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/instance"
+)
+
+// Limits of the servers towards callers and peers.
+const (
+	headTimeout = 10 * time.Second
+	headBytes   = 64 << 10
+	// idleTimeout is longer than callers keep connections.
+	idleTimeout = time.Minute
+	// targetIdle is how long a connection to a target is kept unused; targets
+	// close theirs after 10 s.
+	targetIdle = 8 * time.Second
+	// targetDial bounds a connection's setting up; a target takes a few
+	// milliseconds, and one that is dark never answers.
+	targetDial = 400 * time.Millisecond
+)
+
+// Gateway is one running instance.
+type Gateway struct {
+	settings Settings
+	adapters Adapters
+	logger   *slog.Logger
+	registry metrics.Registry
+	self     instance.Info
+
+	datagrams *net.UDPConn
+	listeners []net.Listener
+	servers   []*http.Server
+	entry     *http.Server
+	peers     *http.Client
+
+	belief   *belief
+	asks     *asks
+	snapshot atomic.Pointer[entry.Snapshot]
+	leaving  atomic.Bool
+	// publishing guards changes of the snapshot.
+	publishing sync.Mutex
+
+	tasks  *errgroup.Group
+	cancel context.CancelFunc
+}
+
+// Option changes a Gateway under construction.
+type Option func(*Gateway)
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(g *Gateway) { g.logger = l }
+}
+
+// WithMetrics sets the registry of the counters.
+func WithMetrics(r metrics.Registry) Option {
+	return func(g *Gateway) { g.registry = r }
+}
+
+// Start starts an instance. It returns once the instance listens; it takes
+// connections when it has a configuration.
+func Start(s Settings, a Adapters, options ...Option) (*Gateway, error) {
+	g := &Gateway{
+		settings: s,
+		adapters: a,
+		logger:   slog.New(slog.DiscardHandler),
+		registry: metrics.NewRegistry(),
+		self: instance.Info{
+			ID: instance.ID{
+				Address:     instance.Address(s.PeerAddress),
+				Incarnation: uint64(time.Now().UnixNano()),
+			},
+			Zone: s.Zone,
+		},
+		asks:  newAsks(),
+		peers: newPeerClient(),
+	}
+	for _, o := range options {
+		o(g)
+	}
+	g.belief = newBelief(g)
+	g.snapshot.Store(&entry.Snapshot{})
+	if err := g.listen(); err != nil {
+		g.closeListeners()
+		return nil, err
+	}
+	g.run()
+	return g, nil
+}
+
+// Current implements entry.Snapshots.
+func (g *Gateway) Current() *entry.Snapshot { return g.snapshot.Load() }
+
+// publish changes the snapshot that traffic reads.
+func (g *Gateway) publish(change func(*entry.Snapshot)) {
+	g.publishing.Lock()
+	defer g.publishing.Unlock()
+	next := *g.snapshot.Load()
+	change(&next)
+	g.snapshot.Store(&next)
+}
+
+// listen opens all sockets. The order is that of serve.
+func (g *Gateway) listen() error {
+	var err error
+	if g.datagrams, err = listenPeers(g.settings.PeerAddress); err != nil {
+		return err
+	}
+	for _, address := range []string{
+		g.settings.EntryAddress,
+		g.settings.ReadyAddress,
+		g.settings.PeerAddress,
+		g.settings.MetricsAddress,
+	} {
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		g.listeners = append(g.listeners, l)
+	}
+	return nil
+}
+
+func (g *Gateway) closeListeners() {
+	if g.datagrams != nil {
+		_ = g.datagrams.Close()
+	}
+	for _, l := range g.listeners {
+		_ = l.Close()
+	}
+}
+
+// run starts the goroutines and the servers.
+func (g *Gateway) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.tasks = &errgroup.Group{}
+	handler := entry.New(entry.Ports{
+		Snapshots: g,
+		Admission: admission{g},
+		Claims:    claims{},
+		Dispatch:  dispatch{g},
+		Strikes:   strikes{g},
+	},
+		entry.WithDialect(g.adapters.Dialect),
+		entry.WithLogger(g.logger),
+		entry.WithMetrics(g.registry),
+		entry.WithClient(forward.New(
+			forward.WithIdleTimeout(targetIdle),
+			forward.WithDialTimeout(targetDial))))
+	g.serve(0, handler)
+	g.serve(1, http.HandlerFunc(g.serveReady))
+	g.serve(2, http.HandlerFunc(g.serveMirror))
+	g.serve(3, http.HandlerFunc(g.serveMetrics))
+	g.entry = g.servers[0]
+	g.task(g.receive)
+	g.task(func() { g.follow(ctx) })
+	g.task(func() { g.keepMembership(ctx) })
+	g.task(func() { g.tick(ctx) })
+	g.logger.Info("started",
+		slog.String("Instance", g.settings.Name),
+		slog.String("Zone", g.settings.Zone),
+		slog.String("Entry", g.settings.EntryAddress),
+		slog.String("Peer", g.settings.PeerAddress))
+}
+
+func (g *Gateway) task(f func()) {
+	g.tasks.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+func (g *Gateway) serve(listener int, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headBytes,
+		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+	}
+	g.servers = append(g.servers, server)
+	g.task(func() {
+		if err := server.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
+			g.logger.Error("server failed",
+				slog.String("Address", g.listeners[listener].Addr().String()),
+				slog.Any("Error", err))
+		}
+	})
+}
+
+// Periods of the tick.
+const (
+	tickPeriod = 100 * time.Millisecond
+	// demandTicks is how many ticks pass between two reports of demands.
+	demandTicks = 5
+)
+
+// tick does what is due by time alone.
+func (g *Gateway) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g.belief.expire(boot.Now())
+		if n%demandTicks == 0 {
+			g.tellDemands()
+		}
+	}
+}
+
+// count counts an event by name.
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter(name, g.registry).Inc(1)
+}
+
+// newRandom returns a source that only spreads load.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/gateway/member.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dandelionmux/pkg/store"
+)
+
+// Terms of the instance's own registration.
+const (
+	// memberTerm is the lease of a member's key. An instance that died is found
+	// silent long before, so it only bounds how long the dead are listed.
+	memberTerm = 6 * time.Second
+	// renewPeriod leaves room for three lost renewals.
+	renewPeriod = 1500 * time.Millisecond
+)
+
+func (g *Gateway) memberKey() string { return memberPrefix + string(g.self.Address) }
+
+// keepMembership registers the instance and renews its lease until the end.
+func (g *Gateway) keepMembership(ctx context.Context) {
+	var lease store.LeaseID
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = g.join(ctx)
+		} else {
+			lease, err = g.renew(ctx, lease)
+		}
+		if err != nil {
+			g.storeFailed(ctx, "membership", err)
+			continue
+		}
+		if lease != 0 {
+			pause(ctx, renewPeriod)
+		}
+	}
+	g.leave(lease)
+}
+
+// join registers the instance under a new lease.
+func (g *Gateway) join(ctx context.Context) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := g.storeCall(ctx, store.GrantLease{
+		Term: max(memberTerm, g.settings.LeaseMinimum),
+	})
+	if err != nil {
+		return 0, err
+	}
+	lease := answer.(store.Leased).Lease
+	value, err := json.Marshal(memberValue{
+		Zone:        g.self.Zone,
+		Incarnation: g.self.Incarnation,
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "member")
+	}
+	return lease, g.enrol(ctx, lease, value)
+}
+
+// enrol writes the member's key, over what an earlier run may have left there.
+func (g *Gateway) enrol(ctx context.Context, lease store.LeaseID, value []byte) error {
+	expected := int64(0)
+	for {
+		answer, err := g.storeCall(ctx, store.Swap{
+			Key:      g.memberKey(),
+			Value:    value,
+			Expected: expected,
+			Lease:    lease,
+		})
+		if err != nil {
+			return err
+		}
+		swapped := answer.(store.Swapped)
+		if swapped.Done {
+			g.logger.Info("registered",
+				slog.Int64("Lease", int64(lease)),
+				slog.Int64("Counter", swapped.Current.Version))
+			return nil
+		}
+		expected = swapped.Current.Version
+	}
+}
+
+// renew renews the lease. It returns zero if the lease is no more.
+func (g *Gateway) renew(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := g.storeCall(ctx, store.RenewLease{
+		Lease: lease,
+	})
+	if err != nil {
+		return lease, err
+	}
+	if answer.(store.Leased).Term == 0 {
+		g.logger.Warn("registration lapsed",
+			slog.Int64("Lease", int64(lease)))
+		return 0, nil
+	}
+	return lease, nil
+}
+
+// leave ends the registration at a graceful stop.
+func (g *Gateway) leave(lease store.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storePause)
+	defer cancel()
+	if _, err := g.storeCall(ctx, store.RevokeLease{Lease: lease}); err != nil {
+		g.logger.Warn("registration left to lapse",
+			slog.Any("Error", err))
+	}
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/internal/entry"
+)
+
+const (
+	// rotationLag is how long after it isn't ready an instance may get new
+	// connections: the balancer asks once a second and wants two misses.
+	rotationLag = 2300 * time.Millisecond
+	// stopReserve is left of Settings.StopTimeout for the exit itself.
+	stopReserve = 250 * time.Millisecond
+)
+
+// serveReady tells the balancer whether the instance takes new connections.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.Current().Ready() && !g.leaving.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// serveMetrics writes all counters as text, one a line.
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	if at, ok := g.provedAt(); ok {
+		_, _ = fmt.Fprintf(w, "Configuration.AgeMs %d\n", (boot.Now() - at).Milliseconds())
+	}
+	g.registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		}
+	})
+}
+
+func (g *Gateway) provedAt() (at time.Duration, ok bool) {
+	g.belief.look(func() { at, ok = g.belief.mirror.ProvedAt() })
+	return at, ok
+}
+
+// Stop ends the instance gracefully: it turns unready, serves on while new
+// connections may still come, and lets requests in progress finish.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.leaving.Store(true)
+	g.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-stopReserve)
+	defer cancel()
+	pause(ctx, rotationLag)
+	err := g.entry.Shutdown(ctx)
+	if err != nil {
+		err = errors.Wrap(err, "stop")
+	}
+	g.logger.Info("stopped",
+		slog.Any("Error", err))
+	g.Close()
+	return err
+}
+
+// Close ends the instance at once.
+func (g *Gateway) Close() {
+	g.cancel()
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+	_ = g.datagrams.Close()
+	_ = g.tasks.Wait()
+	g.peers.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/gateway/strikes.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/internal/entry"
+	"dandelionmux/pkg/quarantine"
+	"dandelionmux/pkg/target"
+)
+
+// quarantineRetry is when callers of a quarantined request may come back: when
+// its strikes have lapsed.
+const quarantineRetry = time.Minute
+
+// strikes implements entry.Strikes.
+type strikes struct{ gateway *Gateway }
+
+// Enter implements entry.Strikes.
+func (s strikes) Enter(_ context.Context, identity entry.Identity) (entry.Permit, error) {
+	outline := quarantine.OutlineOf(identity.Organisation, identity.Route, identity.Method, identity.Path)
+	f := quarantine.FingerprintOf(outline, sha256.Sum256(identity.Body))
+	out := false
+	s.gateway.belief.look(func() {
+		out = s.gateway.belief.tally.Quarantined(boot.Now(), f)
+	})
+	if out {
+		s.gateway.count("Quarantine.Refused")
+		return nil, &entry.Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "quarantined",
+			RetryAfter: quarantineRetry,
+		}
+	}
+	return &permit{
+		gateway:     s.gateway,
+		fingerprint: f,
+	}, nil
+}
+
+// permit implements entry.Permit.
+type permit struct {
+	gateway     *Gateway
+	fingerprint quarantine.Fingerprint
+}
+
+// Until implements entry.Permit; only the request's deadline counts.
+func (p *permit) Until() time.Time { return time.Time{} }
+
+// Leave implements entry.Permit.
+func (p *permit) Leave(r entry.Run) {
+	g := p.gateway
+	if r.Crashed == "" {
+		if r.Answered {
+			g.belief.look(func() { g.belief.tally.Clear(p.fingerprint) })
+		}
+		return
+	}
+	g.belief.look(func() { g.belief.tally.Strike(boot.Now(), p.fingerprint, r.Crashed) })
+	g.logger.Info("strike",
+		slog.String("Fingerprint", p.fingerprint.String()),
+		slog.String("Target", r.Crashed))
+	// The same caller's requests come to the same zone, so the others needn't know.
+	g.tellZone(failure{
+		Target:  r.Crashed,
+		Outcome: target.Crashed,
+		Suspect: p.fingerprint,
+	})
+}
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -20,6 +20,8 @@
 	// KeyDigests are the digests of the keys in force. A withdrawn key's digest
 	// is removed.
 	KeyDigests []KeyDigest
+	// Priority, if set, goes before the priority of routes.
+	Priority *int
 }
 
 // KeyDigest is the SHA-256 digest of a caller's key.
@@ -46,8 +48,19 @@
 	PathPrefix string
 	// Methods limits the route to these; empty means all.
 	Methods []string
-	// Service is the name of the service that serves the route.
+	// Service is the name of the service that serves the route; empty if Split
+	// is set.
 	Service string
+	// Split divides the route's requests among services by weight.
+	Split []Part
+	// Attempts bounds the targets that one request may be sent to; zero leaves
+	// it to the instance.
+	Attempts int
+	// Priority ranks the route's requests; zero is the most urgent.
+	Priority int
+	// Objective is the latency within which an answer is worth the most; zero
+	// means none.
+	Objective time.Duration
 	// Open routes need no key and have no organisation.
 	Open bool
 	// Repeatable tells whether a request may run more than once.
@@ -61,6 +74,13 @@
 	Key KeyLocation
 }
 
+// Part is one service of a split route.
+type Part struct {
+	Service string
+	// Weight is the service's part of the sum of all weights, above zero.
+	Weight int
+}
+
 // Repeatable says whether requests of a route may run more than once.
 type Repeatable int
 
--- a/pkg/document/methods.go
+++ b/pkg/document/methods.go
@@ -28,6 +28,26 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
+// Pick chooses the service for one request: Service, or one of Split in
+// proportion to its weight. The draw is uniform in [0, 1).
+func (r Route) Pick(draw float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	sum := 0
+	for _, p := range r.Split {
+		sum += p.Weight
+	}
+	left := draw * float64(sum)
+	for _, p := range r.Split {
+		if left < float64(p.Weight) {
+			return p.Service
+		}
+		left -= float64(p.Weight)
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
 // Units is what one request takes from its organisation's bucket, one at
 // least.
 func (r Route) Units() int {
--- /dev/null
+++ b/pkg/meter/rates.go
@@ -0,0 +1,184 @@
+package meter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dandelionmux/pkg/document"
+)
+
+// Limits of Rates.
+const (
+	// demandSpan is how long a zone's demand is measured over: long enough to see
+	// a few requests of a small organisation, short enough to follow a burst.
+	demandSpan = 2 * time.Second
+	// reportTerm is how long another zone's report counts.
+	reportTerm = 2 * time.Second
+	// hotPercent of a zone's part in use makes it tell the other zones.
+	hotPercent = 60
+	// leastPercent of its even part stays with a zone whatever the others ask.
+	leastPercent = 30
+	// startPercent of its burst is in a fresh bucket: a restarted one doesn't
+	// know what its predecessor gave out.
+	startPercent = 40
+	// marginPercent is taken off every rate, for the units that two meters give
+	// out while they disagree about who keeps an organisation.
+	marginPercent = 2
+	// waitLeast and waitMost bound Retry-After.
+	waitLeast = 200 * time.Millisecond
+	waitMost  = 5 * time.Second
+)
+
+// Rates keeps one zone's part of the organisations' rates. Its methods must not
+// be called at the same time.
+type Rates struct {
+	zone    string
+	buckets map[string]*bucket
+}
+
+// bucket is a zone's part of one organisation's rate.
+type bucket struct {
+	level  float64
+	filled time.Duration
+	demand *Window
+	// others are the newest reports by zone.
+	others map[string]report
+	// told is when the others last told that they are short.
+	told time.Duration
+}
+
+type report struct {
+	demand float64
+	at     time.Duration
+}
+
+// Zones is how the instances are spread.
+type Zones struct {
+	// Part is this zone's part of all instances, from 0 to 1.
+	Part float64
+	// Count is the number of zones.
+	Count int
+}
+
+// Verdict is the answer to one ask.
+type Verdict struct {
+	Granted bool
+	// RetryAfter is when a unit will be there, if none was granted.
+	RetryAfter time.Duration
+}
+
+// Demand is what one zone asks of one organisation's rate, in units a second.
+type Demand struct {
+	Organisation string
+	Zone         string
+	PerSecond    float64
+}
+
+// NewRates returns the meter of a zone.
+func NewRates(zone string) *Rates {
+	return &Rates{
+		zone:    zone,
+		buckets: map[string]*bucket{},
+	}
+}
+
+// Ask takes a request's units from its organisation's rate, if there are any.
+func (r *Rates) Ask(now time.Duration, rate document.Rate, cost int, zones Zones) Verdict {
+	b := r.bucket(now, rate, zones)
+	b.demand.Add(now, float64(cost))
+	perSecond := b.fill(now, rate, zones, r.zone)
+	if b.level >= float64(cost) {
+		b.level -= float64(cost)
+		return Verdict{
+			Granted: true,
+		}
+	}
+	missing := float64(cost) - b.level
+	wait := time.Duration(missing / max(perSecond, 0.01) * float64(time.Second))
+	return Verdict{
+		RetryAfter: min(max(wait, waitLeast), waitMost),
+	}
+}
+
+func (r *Rates) bucket(now time.Duration, rate document.Rate, zones Zones) *bucket {
+	b := r.buckets[rate.Organisation]
+	if b == nil {
+		b = &bucket{
+			level:  max(float64(rate.Burst)*zones.Part*startPercent/100, 1),
+			filled: now,
+			demand: NewWindow(demandSpan),
+			others: map[string]report{},
+		}
+		r.buckets[rate.Organisation] = b
+	}
+	return b
+}
+
+// fill adds what came in since, and returns the zone's part in units a second.
+func (b *bucket) fill(now time.Duration, rate document.Rate, zones Zones, zone string) float64 {
+	part := b.part(now, zones, zone)
+	perSecond := rate.PerSecond * part * (100 - marginPercent) / 100
+	burst := max(float64(rate.Burst)*part, 1)
+	b.level = min(b.level+perSecond*(now-b.filled).Seconds(), burst)
+	b.filled = now
+	return perSecond
+}
+
+// part is the zone's part of the rate. While no zone is short it is the zone's
+// part of the instances; else it follows the zones' demands, as far as they are
+// known. Every zone keeps a part of its even one, so that the first request
+// there isn't refused.
+func (b *bucket) part(now time.Duration, zones Zones, zone string) float64 {
+	own := b.perSecond(now)
+	sum, heard := 0.0, 0
+	for name, o := range b.others {
+		if now-o.at <= reportTerm && name != zone {
+			sum += o.demand
+			heard++
+		}
+	}
+	if heard < zones.Count-1 || own+sum <= 0 {
+		return zones.Part
+	}
+	least := zones.Part * leastPercent / 100
+	return least + (1-float64(leastPercent)/100)*own/(own+sum)
+}
+
+func (b *bucket) perSecond(now time.Duration) float64 {
+	return b.demand.Sum(now) / demandSpan.Seconds()
+}
+
+// Hear takes in another zone's demand.
+func (r *Rates) Hear(now time.Duration, rate document.Rate, d Demand, zones Zones) {
+	b := r.bucket(now, rate, zones)
+	b.others[d.Zone] = report{
+		demand: d.PerSecond,
+		at:     now,
+	}
+	b.told = now
+}
+
+// Demands lists what the other zones should know: the organisations that use
+// most of this zone's part, and those about which another zone has just told.
+func (r *Rates) Demands(now time.Duration, rateOf func(string) (document.Rate, bool), zones Zones) []Demand {
+	var list []Demand
+	for name, b := range r.buckets {
+		rate, ok := rateOf(name)
+		if !ok {
+			delete(r.buckets, name)
+			continue
+		}
+		demand := b.perSecond(now)
+		hot := demand*100 > rate.PerSecond*zones.Part*hotPercent
+		if hot || b.told != 0 && now-b.told <= reportTerm {
+			list = append(list, Demand{
+				Organisation: name,
+				Zone:         r.zone,
+				PerSecond:    demand,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b Demand) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	return list
+}
--- /dev/null
+++ b/pkg/mirror/mirror.go
@@ -0,0 +1,268 @@
+// Package mirror keeps a copy of a part of the store, with a proof of how fresh
+// it is.
+//
+// One instance of each zone reads the store: it lists once, then watches, and
+// proves now and then by a linearizable read that it has heard all changes. The
+// others of its zone copy its Mirror: Since gives what changed after a counter
+// value, which is the store's own, so that a follower may go on with another
+// instance at any time. A Mirror never goes back: entries that are older than
+// what it holds are ignored.
+//
+// A waiting watch proves nothing, because it may have stopped hearing. A proof
+// is a read that the store answered: it holds for the time when the read was
+// sent, once the mirror has reached the counter that the read saw.
+//
+// # Usage
+//
+//	m := mirror.New()
+//	m.List(answer.Entries, answer.Counter)
+//	m.Change(changes.Entries, changes.Counter)
+//	m.Prove(sent, value.Counter)
+//	if at, ok := m.ProvedAt(); ok && now-at < term {
+//		// What m holds was the store's content at the time at, or later.
+//	}
+package mirror
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dandelionmux/pkg/store"
+)
+
+// removalsKept bounds the removals that are remembered for followers; one that
+// is further behind takes the whole.
+const removalsKept = 1024
+
+// Mirror is a copy of all keys that begin with some prefix. Its methods must not
+// be called at the same time.
+type Mirror struct {
+	entries map[string]store.Entry
+	counter int64
+	// removed are the newest removals in the order of their counters, and known
+	// is the counter after which all removals are in it.
+	removed []store.Entry
+	known   int64
+	// provedAt holds if proved is set. ahead is a proof that the mirror has not
+	// reached yet.
+	provedAt time.Duration
+	proved   bool
+	ahead    proof
+}
+
+// proof says that the store's counter was at least counter at the time at.
+type proof struct {
+	at      time.Duration
+	counter int64
+	set     bool
+}
+
+// Delta is what changed after a counter value, or the whole.
+type Delta struct {
+	// Whole is set if Entries are all there are; else they are changes, and
+	// removals have their Removed set.
+	Whole   bool
+	Entries []store.Entry
+	Counter int64
+}
+
+// New returns an empty mirror.
+func New() *Mirror {
+	return &Mirror{
+		entries: map[string]store.Entry{},
+	}
+}
+
+// Counter is the store's counter that the mirror has reached.
+func (m *Mirror) Counter() int64 { return m.counter }
+
+// Entry returns the entry under a key.
+func (m *Mirror) Entry(key string) (store.Entry, bool) {
+	e, ok := m.entries[key]
+	return e, ok
+}
+
+// Prefixed returns all entries whose keys begin with the prefix, in order of
+// their keys.
+func (m *Mirror) Prefixed(prefix string) []store.Entry {
+	var list []store.Entry
+	for key, e := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
+// List takes in all entries as of the counter, and returns those that changed.
+// A list older than the mirror is ignored.
+func (m *Mirror) List(entries []store.Entry, counter int64) []store.Entry {
+	if counter < m.counter {
+		return nil
+	}
+	var changed []store.Entry
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+		if m.put(e) {
+			changed = append(changed, e)
+		}
+	}
+	for key := range m.entries {
+		if !present[key] {
+			changed = append(changed, m.remove(key, counter))
+		}
+	}
+	m.known = counter
+	m.removed = nil
+	m.advance(counter)
+	return changed
+}
+
+// Change takes in changes up to the counter, and returns those that were news.
+func (m *Mirror) Change(entries []store.Entry, counter int64) []store.Entry {
+	var changed []store.Entry
+	for _, e := range entries {
+		if e.Version == 0 {
+			if m.drop(e, counter) {
+				changed = append(changed, e)
+			}
+			continue
+		}
+		if m.put(e) {
+			changed = append(changed, e)
+		}
+	}
+	m.advance(counter)
+	return changed
+}
+
+// put takes an entry in unless it is older than what is there.
+func (m *Mirror) put(e store.Entry) bool {
+	if old, ok := m.entries[e.Key]; ok && old.Version >= e.Version {
+		return false
+	}
+	if e.Version <= m.counter && !m.fresh(e) {
+		return false
+	}
+	m.entries[e.Key] = e
+	return true
+}
+
+// fresh tells whether an entry that is no newer than the mirror can still be
+// news: it can't if the key's removal is known to be later.
+func (m *Mirror) fresh(e store.Entry) bool {
+	for _, r := range m.removed {
+		if r.Key == e.Key && r.Removed > e.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// drop takes a removal in unless the key was written since.
+func (m *Mirror) drop(e store.Entry, counter int64) bool {
+	old, ok := m.entries[e.Key]
+	at := e.Removed
+	if at == 0 {
+		at = counter
+	}
+	if !ok || old.Version > at {
+		return false
+	}
+	m.remove(e.Key, at)
+	return true
+}
+
+// remove forgets a key and remembers its removal for followers.
+func (m *Mirror) remove(key string, at int64) store.Entry {
+	delete(m.entries, key)
+	gone := store.Entry{
+		Key:     key,
+		Removed: at,
+	}
+	m.removed = append(m.removed, gone)
+	if len(m.removed) > removalsKept {
+		m.known = m.removed[0].Removed
+		m.removed = m.removed[1:]
+	}
+	return gone
+}
+
+func (m *Mirror) advance(counter int64) {
+	m.counter = max(m.counter, counter)
+	if m.ahead.set && m.ahead.counter <= m.counter {
+		m.ahead.set = false
+		m.accept(m.ahead.at)
+	}
+}
+
+// Prove takes in that a linearizable read sent at a time saw the counter.
+func (m *Mirror) Prove(at time.Duration, counter int64) {
+	if counter <= m.counter {
+		m.accept(at)
+		return
+	}
+	if !m.ahead.set {
+		m.ahead = proof{
+			at:      at,
+			counter: counter,
+			set:     true,
+		}
+	}
+}
+
+func (m *Mirror) accept(at time.Duration) {
+	if !m.proved || at > m.provedAt {
+		m.provedAt = at
+		m.proved = true
+	}
+}
+
+// ProvedAt returns a time at which the mirror held all that the store held; false
+// if there is no proof yet.
+func (m *Mirror) ProvedAt() (time.Duration, bool) {
+	return m.provedAt, m.proved
+}
+
+// Deaf tells whether the store is known to have been ahead of the mirror for
+// longer than the patience: its watch has stopped hearing.
+func (m *Mirror) Deaf(now, patience time.Duration) bool {
+	return m.ahead.set && now-m.ahead.at > patience
+}
+
+// Since returns what changed after the counter. A follower that is ahead of the
+// mirror gets an empty Delta.
+func (m *Mirror) Since(counter int64) Delta {
+	d := Delta{
+		Counter: m.counter,
+	}
+	if counter > m.counter {
+		return d
+	}
+	d.Whole = counter < m.known || counter == 0
+	for _, e := range m.Prefixed("") {
+		if d.Whole || e.Version > counter {
+			d.Entries = append(d.Entries, e)
+		}
+	}
+	if d.Whole {
+		return d
+	}
+	for _, r := range m.removed {
+		if r.Removed > counter {
+			d.Entries = append(d.Entries, r)
+		}
+	}
+	return d
+}
+
+// Apply takes in another mirror's delta, and returns what was news.
+func (m *Mirror) Apply(d Delta) []store.Entry {
+	if d.Whole {
+		return m.List(d.Entries, d.Counter)
+	}
+	return m.Change(d.Entries, d.Counter)
+}
--- /dev/null
+++ b/pkg/outlier/doc.go
@@ -0,0 +1,24 @@
+// Package outlier chooses targets and keeps work away from those that have just
+// failed, wherever in the fleet they failed.
+//
+// A target with a gray failure resets or fails most of its requests for some
+// seconds while its probes pass. An instance that sends it one request in many
+// seconds would learn of each failure by its own, so the first failure anywhere
+// is told to all, and every Table keeps off the target for a while. A target
+// that comes back is tried with repeatable requests first: one that may not be
+// repeated is lost if the failure isn't over.
+//
+// A server error counts only when another one follows within seconds, since
+// some requests fail by themselves. When most targets are out, none is: then
+// failures don't tell the targets apart.
+//
+// # Usage
+//
+//	t := outlier.New("a", random)
+//	t.Update(now, registrations)
+//	chosen, ok := t.Choose(now, outlier.Request{Repeatable: true})
+//	// Send, then:
+//	if t.Done(now, chosen.Name, outcome) {
+//		// Tell the other instances, whose tables take it in by Heard.
+//	}
+package outlier
--- /dev/null
+++ b/pkg/outlier/table.go
@@ -0,0 +1,240 @@
+package outlier
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/target"
+)
+
+// Terms of ejections. Targets with gray failures were measured to fail for
+// about 3 s at a time; see docs/PLATFORM.md for the trials.
+const (
+	// ejection is how long a target that failed gets no work.
+	ejection = 3 * time.Second
+	// probation is how long after that it gets repeatable requests only.
+	probation = 3 * time.Second
+	// shedPause is how long a target that shed a request gets no other one.
+	shedPause = 300 * time.Millisecond
+	// errorSpan is within which two server errors eject a target.
+	errorSpan = 2 * time.Second
+	// panicPercent of all targets must be in use; with fewer, ejections are
+	// ignored.
+	panicPercent = 30
+)
+
+// Table is what one instance knows of one service's targets. Its methods must
+// not be called at the same time.
+type Table struct {
+	zone    string
+	random  *rand.Rand
+	targets map[string]*state
+	// order holds the targets by name, so that choices repeat under one seed.
+	order []*state
+}
+
+// state is one target with what was seen of it.
+type state struct {
+	document.Target
+	warmUntil time.Duration
+	running   int
+	// outUntil ends the ejection, and doubtUntil the probation after it.
+	outUntil   time.Duration
+	doubtUntil time.Duration
+	// shedUntil ends the pause after a shed request.
+	shedUntil time.Duration
+	// failedAt is the time of the last server error; zero if there was none.
+	failedAt time.Duration
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Repeatable bool
+	// Avoid names targets that were tried already.
+	Avoid []string
+}
+
+// New returns an empty table of an instance in a zone.
+func New(zone string, random *rand.Rand) *Table {
+	return &Table{
+		zone:    zone,
+		random:  random,
+		targets: map[string]*state{},
+	}
+}
+
+// Update replaces the targets. What is known of those that stay is kept.
+func (t *Table) Update(now time.Duration, list []target.Registration) {
+	old := t.targets
+	t.targets = make(map[string]*state, len(list))
+	t.order = t.order[:0]
+	for _, r := range list {
+		s := old[r.Target.Name]
+		if s == nil || s.Address != r.Target.Address {
+			s = &state{}
+		}
+		s.Target = r.Target
+		s.warmUntil = now + r.Warming
+		t.targets[r.Target.Name] = s
+		t.order = append(t.order, s)
+	}
+	slices.SortFunc(t.order, func(a, b *state) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Len is the number of targets that take new work, sound or not.
+func (t *Table) Len() int {
+	n := 0
+	for _, s := range t.order {
+		if !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Choose picks a target and counts the request there until Done. It reports
+// false if there is none that wasn't tried.
+func (t *Table) Choose(now time.Duration, r Request) (document.Target, bool) {
+	candidates := t.candidates(now, r)
+	if len(candidates) == 0 {
+		return document.Target{}, false
+	}
+	s := t.lighter(now, t.near(candidates))
+	s.running++
+	return s.Target, true
+}
+
+// candidates are the best targets for the request: those in use, or all where
+// that leaves too few.
+func (t *Table) candidates(now time.Duration, r Request) []*state {
+	var sound, doubtful, out []*state
+	all := 0
+	for _, s := range t.order {
+		if s.Leaving {
+			continue
+		}
+		all++
+		switch {
+		case slices.Contains(r.Avoid, s.Name):
+		case now < s.outUntil || now < s.shedUntil:
+			out = append(out, s)
+		case now < s.doubtUntil:
+			doubtful = append(doubtful, s)
+		default:
+			sound = append(sound, s)
+		}
+	}
+	usable := len(sound) + len(doubtful)
+	switch {
+	case usable*100 < all*panicPercent:
+		return slices.Concat(sound, doubtful, out)
+	case !r.Repeatable && len(sound)*2 >= usable && len(sound) > 0:
+		return sound
+	default:
+		return append(sound, doubtful...)
+	}
+}
+
+// near keeps to the instance's own zone in proportion to how many of the zone's
+// targets are candidates, so that a zone with few of them isn't overrun.
+func (t *Table) near(candidates []*state) []*state {
+	var own, far []*state
+	for _, s := range candidates {
+		if s.Zone == t.zone {
+			own = append(own, s)
+		} else {
+			far = append(far, s)
+		}
+	}
+	if len(own) == 0 || len(far) == 0 {
+		return candidates
+	}
+	all := 0
+	for _, s := range t.order {
+		if s.Zone == t.zone && !s.Leaving {
+			all++
+		}
+	}
+	if t.random.Float64()*float64(all) < float64(len(own)) {
+		return own
+	}
+	return far
+}
+
+// lighter picks the less busy of two random candidates.
+func (t *Table) lighter(now time.Duration, candidates []*state) *state {
+	a := candidates[t.random.IntN(len(candidates))]
+	b := candidates[t.random.IntN(len(candidates))]
+	if b.load(now) < a.load(now) {
+		return b
+	}
+	return a
+}
+
+// load is how much of the target's room the instance uses.
+func (s *state) load(now time.Duration) float64 {
+	load := float64(s.running+1) / float64(max(s.Slots, 1))
+	if now < s.warmUntil {
+		return 2 * load
+	}
+	return load
+}
+
+// Done ends a request at a target. It reports whether the other instances should
+// learn of the outcome.
+func (t *Table) Done(now time.Duration, name string, outcome target.Outcome) bool {
+	s := t.targets[name]
+	if s == nil {
+		return false
+	}
+	s.running = max(s.running-1, 0)
+	return t.judge(now, s, outcome)
+}
+
+// Heard takes in an outcome at another instance, or one of a request that still
+// runs here.
+func (t *Table) Heard(now time.Duration, name string, outcome target.Outcome) bool {
+	s := t.targets[name]
+	if s == nil {
+		return false
+	}
+	return t.judge(now, s, outcome)
+}
+
+// judge reports whether the outcome is news.
+func (t *Table) judge(now time.Duration, s *state, outcome target.Outcome) bool {
+	switch outcome {
+	case target.Failed:
+		again := s.failedAt != 0 && now-s.failedAt <= errorSpan
+		s.failedAt = max(now, 1)
+		if again {
+			s.eject(now)
+		}
+		return true
+	case target.Crashed, target.Truncated, target.TimedOut, target.Refused:
+		news := now >= s.outUntil
+		s.eject(now)
+		return news
+	case target.Shed:
+		s.shedUntil = now + shedPause
+	}
+	return false
+}
+
+func (s *state) eject(now time.Duration) {
+	s.outUntil = now + ejection
+	s.doubtUntil = now + ejection + probation
+}
+
+// Ejected reports whether a target is out, for logs and metrics.
+func (t *Table) Ejected(now time.Duration, name string) bool {
+	s := t.targets[name]
+	return s != nil && now < s.outUntil
+}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,124 @@
+// Package roster tells which instance does what for its zone: reads the store,
+// keeps an organisation's bucket or a service's budget, passes news on.
+//
+// Nothing is elected. Each instance ranks the members that it knows, and the
+// first in rank that isn't known to be silent has the task. Two instances may
+// disagree for a while; then a task is done twice, which costs more but breaks
+// nothing.
+//
+// # Usage
+//
+//	r := roster.New(self, members)
+//	if r.Readers()[0].Address == self.Address {
+//		// Read the store for the zone.
+//	}
+//	keeper := r.Keeper("organisation", name, silent)
+package roster
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
+)
+
+// Roster is the fleet as one instance knows it. It is never changed.
+type Roster struct {
+	self instance.Info
+	// zones holds the members of each zone in the order of their addresses, self
+	// included.
+	zones map[string][]instance.Info
+	size  int
+}
+
+// New returns the roster of the members, with self in any case.
+func New(self instance.Info, members []instance.Info) *Roster {
+	r := &Roster{
+		self:  self,
+		zones: map[string][]instance.Info{},
+	}
+	r.add(self)
+	for _, m := range members {
+		if m.Address != self.Address {
+			r.add(m)
+		}
+	}
+	for _, list := range r.zones {
+		slices.SortFunc(list, func(a, b instance.Info) int {
+			return strings.Compare(string(a.Address), string(b.Address))
+		})
+	}
+	return r
+}
+
+func (r *Roster) add(m instance.Info) {
+	r.zones[m.Zone] = append(r.zones[m.Zone], m)
+	r.size++
+}
+
+// Len is the number of members.
+func (r *Roster) Len() int { return r.size }
+
+// Own returns the members of the instance's zone, self included.
+func (r *Roster) Own() []instance.Info { return r.zones[r.self.Zone] }
+
+// Zones is how the instances are spread, given the number of zones that there
+// should be.
+func (r *Roster) Zones(count int) meter.Zones {
+	return meter.Zones{
+		Part:  float64(len(r.Own())) / float64(r.size),
+		Count: max(count, len(r.zones)),
+	}
+}
+
+// Readers are the members of the zone in the order in which they read the store.
+func (r *Roster) Readers() []instance.Info {
+	return instance.Rank(key("reader", r.self.Zone), r.Own())
+}
+
+// Keeper is the member of the zone that keeps what has the kind and name,
+// without those that are silent.
+func (r *Roster) Keeper(kind, name string, silent func(instance.Address) bool) instance.Address {
+	return first(key(kind, name), r.Own(), silent)
+}
+
+// Envoys are the members of the other zones that keep what has the kind and
+// name there, one of each zone.
+func (r *Roster) Envoys(kind, name string, silent func(instance.Address) bool) []instance.Address {
+	var list []instance.Address
+	for zone, members := range r.zones {
+		if zone == r.self.Zone {
+			continue
+		}
+		if a := first(key(kind, name), members, silent); a != "" {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func key(kind, name string) uint64 { return instance.Hash(kind, xxhash.Sum64String(name)) }
+
+// first is the member with the highest score that isn't silent; the highest of
+// all if all are.
+func first(key uint64, members []instance.Info, silent func(instance.Address) bool) instance.Address {
+	var best, highest instance.Address
+	var bestScore, highestScore uint64
+	for _, m := range members {
+		score := instance.Score(key, m.Address)
+		if highest == "" || score > highestScore {
+			highest, highestScore = m.Address, score
+		}
+		if !silent(m.Address) && (best == "" || score > bestScore) {
+			best, bestScore = m.Address, score
+		}
+	}
+	if best == "" {
+		return highest
+	}
+	return best
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -11,6 +11,9 @@
 var (
 	// ErrUnavailable says that the call had no effect and will have none.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrNoLease says that the call named a lease that is no more, and had no
+	// effect.
+	ErrNoLease = errors.New("no such lease")
 	// ErrUnknown says that the call may have taken effect, or may yet.
 	ErrUnknown = errors.New("store answer lost")
 )
@@ -18,7 +21,7 @@
 // Client carries out calls. It is safe for concurrent use.
 type Client interface {
 	// Do carries out one call, within the context's deadline. Errors wrap
-	// ErrUnavailable or ErrUnknown.
+	// ErrUnavailable, ErrNoLease or ErrUnknown.
 	Do(ctx context.Context, call Call) (Answer, error)
 }
 
@@ -34,6 +37,9 @@
 	Version int64
 	// Lease is the lease that the key lapses with, or zero.
 	Lease LeaseID
+	// Removed is the counter at the key's removal, where a watch tells of one
+	// and the store says so; zero otherwise.
+	Removed int64
 }
 
 // Call is one request to the store: Get, List, Swap, Delete, GrantLease,
--- /dev/null
+++ b/pkg/target/registration.go
@@ -0,0 +1,29 @@
+package target
+
+import (
+	"time"
+
+	"dandelionmux/pkg/document"
+)
+
+// Registration is what a target says of itself where it registers on its own.
+type Registration struct {
+	Service string
+	Target  document.Target
+	// Warming is how much longer the target is slow after its start.
+	Warming time.Duration
+	// Born is larger for each later run under the same name.
+	Born int64
+	// Sequence grows with each registration of one run.
+	Sequence int64
+}
+
+// Supersedes tells whether r is newer than the other registration under the
+// same name. A registration that was delayed on its way doesn't bring a target
+// back that has said since that it is leaving.
+func (r Registration) Supersedes(other Registration) bool {
+	if r.Born != other.Born {
+		return r.Born > other.Born
+	}
+	return r.Sequence >= other.Sequence
+}
