Leave a reader with a stale proof in time, and look at the store once

Ruled out: the machines themselves were in touch, and their own path to the store was open. Now proofs come each 0.4 s, a reader refuses to be copied when its proof is older than 1.1 s, and whoever loses the reader reads once by itself. An instance that can't prove passes itself over.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -76,7 +76,7 @@
 		if ctx.Err() != nil {
 			return meter.Verdict{}
 		}
-		g.belief.hush(keeper, k.String()+" "+name)
+		g.belief.hush(keeper, silence, k.String()+" "+name)
 	}
 	return g.decideAlone(k, name, amount)
 }
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -125,7 +125,7 @@
 		until := after + b.gateway.settings.Trust - trustMargin
 		b.gateway.publish(func(s *entry.Snapshot) { s.TrustedUntil = until })
 	}
-	if b.mirror.Counter() != before || provedNow && after != at {
+	if b.mirror.Counter() != before {
 		close(b.changed)
 		b.changed = make(chan struct{})
 	}
@@ -291,10 +291,10 @@
 }
 
 // hush passes over an instance that didn't answer.
-func (b *belief) hush(a instance.Address, why string) {
+func (b *belief) hush(a instance.Address, term time.Duration, why string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.silent[a] = boot.Now() + silence
+	b.silent[a] = boot.Now() + term
 	b.gateway.count("Peer.Silent")
 	b.gateway.logger.Warn("instance silent",
 		slog.String("Peer", string(a)),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,10 +21,10 @@
 // Limits of copying a mirror.
 const (
 	// relayHold is how long a reader holds an answer back for news.
-	relayHold = 900 * time.Millisecond
+	relayHold = 500 * time.Millisecond
 	// relayTimeout bounds the wait for a reader. Instances have part of a core
 	// and may stand still for a while.
-	relayTimeout = relayHold + 800*time.Millisecond
+	relayTimeout = relayHold + 400*time.Millisecond
 	// relayDial bounds a connection's setting up inside a zone.
 	relayDial = 300 * time.Millisecond
 	// relayBytes bounds an answer, a configuration of a megabyte and thousands
@@ -69,37 +69,52 @@
 }
 
 // serveMirror answers with what changed after the counter that is asked for, as
-// soon as there is something, or with the newest proof alone.
+// soon as there is something, or with the newest proof alone. An instance whose
+// own proof is stale refuses, so that its followers look elsewhere at once.
 func (g *Gateway) serveMirror(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("After"), 10, 64)
 	if err != nil {
 		http.Error(w, "After: want a counter", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(relayHold)
-	defer timer.Stop()
+	until := boot.Now() + relayHold
 	for {
-		var news bool
-		var changed chan struct{}
-		g.belief.look(func() {
-			news = g.belief.mirror.Counter() > after
-			changed = g.belief.changed
-		})
-		if news {
-			break
-		}
-		select {
-		case <-changed:
-			continue
-		case <-r.Context().Done():
+		now := boot.Now()
+		at, proved := g.provedAt()
+		if !proved || now-at > staleReader {
+			http.Error(w, "proof is stale", http.StatusServiceUnavailable)
 			return
-		case <-timer.C:
 		}
-		break
+		if !g.awaitNews(r.Context(), after, min(until, at+staleReader)-now) {
+			break
+		}
 	}
 	_, _ = w.Write(encodeCopied(g.copied(after)))
 }
 
+// awaitNews waits until the mirror is past the counter, or for a time. It
+// reports whether the caller should look again.
+func (g *Gateway) awaitNews(ctx context.Context, after int64, wait time.Duration) bool {
+	var news bool
+	var changed chan struct{}
+	g.belief.look(func() {
+		news = g.belief.mirror.Counter() > after
+		changed = g.belief.changed
+	})
+	if news || wait <= 0 {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 func (g *Gateway) copied(after int64) copied {
 	var c copied
 	g.belief.look(func() {
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -16,8 +16,9 @@
 
 // Periods and limits of reading the store and of following its reader.
 const (
-	// proofPeriod is the time between two proofs; Settings.Trust must hold a few.
-	proofPeriod = time.Second
+	// proofPeriod is the time between two proofs of a reader. It bounds how old a
+	// configuration the zone may act on while the reader's watch is silent.
+	proofPeriod = 400 * time.Millisecond
 	// callTimeout bounds a call to the store, which answers in 4 ms; slow days
 	// take 60 times as long.
 	callTimeout = 1500 * time.Millisecond
@@ -30,8 +31,14 @@
 	// storePause is the least time between two failed calls.
 	storePause = 400 * time.Millisecond
 	// staleReader is the age of a reader's proof from which on another is
-	// sought.
-	staleReader = 2500 * time.Millisecond
+	// sought. It is more than two periods and a slow answer.
+	staleReader = 1100 * time.Millisecond
+	// catchUpTimeout bounds the calls with which an instance that has lost its
+	// reader looks at the store itself.
+	catchUpTimeout = 300 * time.Millisecond
+	// staleSilence is how long a reader with a stale proof is passed over: an
+	// instance that the store turns away stays so for seconds.
+	staleSilence = 4 * time.Second
 )
 
 // errStop says that the reading of the store ended for no failure.
@@ -67,7 +74,7 @@
 	first := g.self.Address
 	g.belief.look(func() {
 		for _, m := range g.belief.roster.Readers() {
-			if m.Address == g.self.Address || !g.belief.quiet(m.Address) {
+			if !g.belief.quiet(m.Address) {
 				first = m.Address
 				return
 			}
@@ -212,7 +219,11 @@
 		if g.source() != g.self.Address {
 			return errStop
 		}
-		if err := g.proveOnce(ctx); err != nil {
+		if err := g.proveOnce(ctx, callTimeout); err != nil {
+			if g.stale() {
+				g.belief.hush(g.self.Address, staleSilence, "reader: "+err.Error())
+				return errStop
+			}
 			g.storeFailed(ctx, "prove", err)
 			continue
 		}
@@ -221,8 +232,14 @@
 	return errStop
 }
 
-func (g *Gateway) proveOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// stale tells whether the last proof is too old for a reader.
+func (g *Gateway) stale() bool {
+	at, ok := g.provedAt()
+	return !ok || boot.Now()-at > staleReader
+}
+
+func (g *Gateway) proveOnce(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := boot.Now()
 	answer, err := g.storeCall(ctx, store.Get{
@@ -247,9 +264,29 @@
 	for ctx.Err() == nil && g.source() == source {
 		if err := g.copyOnce(ctx, source); err != nil {
 			if ctx.Err() == nil {
-				g.belief.hush(source, "reader: "+err.Error())
+				g.belief.hush(source, staleSilence, "reader: "+err.Error())
+				g.catchUp(ctx)
 			}
 			return
 		}
 	}
 }
+
+// catchUp looks at the store once without a reader, so that no change waits
+// until the next reader is found.
+func (g *Gateway) catchUp(ctx context.Context) {
+	if err := g.proveOnce(ctx, catchUpTimeout); err != nil {
+		g.count("Store.CatchUpFailed")
+		return
+	}
+	behind := false
+	g.belief.look(func() { behind = g.belief.mirror.Behind() })
+	if !behind {
+		return
+	}
+	if err := g.listStore(ctx); err != nil {
+		g.logger.Warn("store call failed",
+			slog.String("Call", "catch up"),
+			slog.Any("Error", err))
+	}
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -233,6 +233,9 @@
 	return m.ahead.set && now-m.ahead.at > patience
 }
 
+// Behind tells whether the store is known to be ahead of the mirror.
+func (m *Mirror) Behind() bool { return m.ahead.set }
+
 // Since returns what changed after the counter. A follower that is ahead of the
 // mirror gets an empty Delta.
 func (m *Mirror) Since(counter int64) Delta {
