Spend half of the rates' tolerance on callers, and tell the refused to come back in turn

Cause: a zone can't know the others' levels, and gave out 98% of its part of a rate exactly; small organisations were refused within their rates by the chance of a few requests, and everybody over a rate was told the same 200 ms, only to be refused again. Ruled out: the parts of the zones do follow the demand.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -129,7 +129,17 @@
 			Granted: true,
 		}
 	}
-	return b.rates.Ask(now, r, a.Amount, zones)
+	v := b.rates.Ask(now, r, a.Amount, zones)
+	if !v.Granted {
+		g.logger.Info("rate used up",
+			slog.String("Organisation", a.Name),
+			slog.Float64("PerSecond", r.PerSecond),
+			slog.Int("Burst", r.Burst),
+			slog.Float64("ZonePerSecond", v.PerSecond),
+			slog.Float64("Level", v.Level),
+			slog.Uint64("Revision", b.index.Revision()))
+	}
+	return v
 }
 
 // decideAlone stands in for a keeper that can't be reached: an even part of each
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -80,8 +80,8 @@
 		members:  map[instance.Address]member{},
 		roster:   roster.New(g.self, nil),
 		services: map[string]*service{},
-		rates:    meter.NewRates(g.settings.Zone),
-		own:      meter.NewRates(g.settings.Zone),
+		rates:    meter.NewRates(g.settings.Zone, g.settings.RateTolerance),
+		own:      meter.NewRates(g.settings.Zone, meter.Tolerance{}),
 		budget: meter.NewBudget(meter.BudgetSettings{
 			Ratio:   g.settings.RetryRatio,
 			Minimum: g.settings.RetryMinimum,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
 )
@@ -42,6 +43,8 @@
 	RetryRatio   float64
 	RetryMinimum float64
 	RetryWindow  time.Duration
+	// RateTolerance is what the fleet may give out beyond a rate.
+	RateTolerance meter.Tolerance
 	// Floor is the part of a service's sound targets that must get work, 0 to 1.
 	Floor float64
 }
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -21,10 +21,15 @@
 	leastPercent = 30
 	// startPercent of its burst is in a fresh bucket: a restarted one doesn't
 	// know what its predecessor gave out.
-	startPercent = 40
-	// marginPercent is taken off every rate, for the units that two meters give
-	// out while they disagree about who keeps an organisation.
-	marginPercent = 2
+	startPercent = 30
+	// spentPercent of the tolerance goes to callers, whose zones can't know each
+	// other's levels. The rest is for two keepers that disagree for a while.
+	spentPercent = 50
+	// partMost times its even part is the most of a rate that a zone takes for
+	// its own when it has heard of few instances, as after a start.
+	partMost = 1.3
+	// leastPerSecond keeps waits finite, in units a second.
+	leastPerSecond = 0.01
 	// waitLeast and waitMost bound Retry-After.
 	waitLeast = 200 * time.Millisecond
 	waitMost  = 5 * time.Second
@@ -33,8 +38,25 @@
 // Rates keeps one zone's part of the organisations' rates. Its methods must not
 // be called at the same time.
 type Rates struct {
-	zone    string
-	buckets map[string]*bucket
+	zone      string
+	tolerance Tolerance
+	buckets   map[string]*bucket
+}
+
+// Tolerance is what the fleet may give out beyond an organisation's rate.
+type Tolerance struct {
+	// Ratio is a part of the rate and of the burst.
+	Ratio float64
+	// Units are on top of the burst.
+	Units float64
+}
+
+func (t Tolerance) perSecond(r document.Rate) float64 {
+	return r.PerSecond * (1 + t.Ratio*spentPercent/100)
+}
+
+func (t Tolerance) burst(r document.Rate) float64 {
+	return float64(r.Burst)*(1+t.Ratio*spentPercent/100) + t.Units*spentPercent/100
 }
 
 // bucket is a zone's part of one organisation's rate.
@@ -42,6 +64,8 @@
 	level  float64
 	filled time.Duration
 	demand *Window
+	// due is when the last of those that were told to come back is due.
+	due time.Duration
 	// others are the newest reports by zone.
 	others map[string]report
 	// told is when the others last told that they are short.
@@ -61,11 +85,20 @@
 	Count int
 }
 
+// part is the zone's part as far as it can be trusted.
+func (z Zones) part() float64 {
+	return min(z.Part, partMost/float64(max(z.Count, 1)))
+}
+
 // Verdict is the answer to one ask.
 type Verdict struct {
 	Granted bool
 	// RetryAfter is when a unit will be there, if none was granted.
 	RetryAfter time.Duration
+	// PerSecond is the zone's part of the rate that decided, and Level what the
+	// bucket held, for logs.
+	PerSecond float64
+	Level     float64
 }
 
 // Demand is what one zone asks of one organisation's rate, in units a second.
@@ -76,10 +109,11 @@
 }
 
 // NewRates returns the meter of a zone.
-func NewRates(zone string) *Rates {
+func NewRates(zone string, t Tolerance) *Rates {
 	return &Rates{
-		zone:    zone,
-		buckets: map[string]*bucket{},
+		zone:      zone,
+		tolerance: t,
+		buckets:   map[string]*bucket{},
 	}
 }
 
@@ -87,25 +121,38 @@
 func (r *Rates) Ask(now time.Duration, rate document.Rate, cost int, zones Zones) Verdict {
 	b := r.bucket(now, rate, zones)
 	b.demand.Add(now, float64(cost))
-	perSecond := b.fill(now, rate, zones, r.zone)
+	perSecond := r.fill(b, now, rate, zones)
 	if b.level >= float64(cost) {
 		b.level -= float64(cost)
 		return Verdict{
 			Granted: true,
 		}
 	}
-	missing := float64(cost) - b.level
-	wait := time.Duration(missing / max(perSecond, 0.01) * float64(time.Second))
 	return Verdict{
-		RetryAfter: min(max(wait, waitLeast), waitMost),
+		PerSecond:  perSecond,
+		Level:      b.level,
+		RetryAfter: b.queue(now, float64(cost), perSecond),
+	}
+}
+
+// queue gives a refused request a place behind those that were told to come
+// back before, and returns when its units are there. All coming back at once
+// would only be refused again.
+func (b *bucket) queue(now time.Duration, cost, perSecond float64) time.Duration {
+	missing := cost - b.level
+	if b.due > now {
+		missing = cost
 	}
+	b.due = max(b.due, now) + time.Duration(missing/max(perSecond, leastPerSecond)*float64(time.Second))
+	b.due = min(b.due, now+waitMost)
+	return max(b.due-now, waitLeast)
 }
 
 func (r *Rates) bucket(now time.Duration, rate document.Rate, zones Zones) *bucket {
 	b := r.buckets[rate.Organisation]
 	if b == nil {
 		b = &bucket{
-			level:  max(float64(rate.Burst)*zones.Part*startPercent/100, 1),
+			level:  max(r.tolerance.burst(rate)*zones.part()*startPercent/100, 1),
 			filled: now,
 			demand: NewWindow(demandSpan),
 			others: map[string]report{},
@@ -116,10 +163,10 @@
 }
 
 // fill adds what came in since, and returns the zone's part in units a second.
-func (b *bucket) fill(now time.Duration, rate document.Rate, zones Zones, zone string) float64 {
-	part := b.part(now, zones, zone)
-	perSecond := rate.PerSecond * part * (100 - marginPercent) / 100
-	burst := max(float64(rate.Burst)*part, 1)
+func (r *Rates) fill(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
+	part := b.part(now, zones, r.zone)
+	perSecond := r.tolerance.perSecond(rate) * part
+	burst := max(r.tolerance.burst(rate)*part, 1)
 	b.level = min(b.level+perSecond*(now-b.filled).Seconds(), burst)
 	b.filled = now
 	return perSecond
@@ -139,9 +186,9 @@
 		}
 	}
 	if heard < zones.Count-1 || own+sum <= 0 {
-		return zones.Part
+		return zones.part()
 	}
-	least := zones.Part * leastPercent / 100
+	least := zones.part() * leastPercent / 100
 	return least + (1-float64(leastPercent)/100)*own/(own+sum)
 }
 
@@ -170,7 +217,7 @@
 			continue
 		}
 		demand := b.perSecond(now)
-		hot := demand*100 > rate.PerSecond*zones.Part*hotPercent
+		hot := demand*100 > rate.PerSecond*zones.part()*hotPercent
 		if hot || b.told != 0 && now-b.told <= reportTerm {
 			list = append(list, Demand{
 				Organisation: name,
--- /dev/null
+++ b/pkg/meter/rates_test.go
@@ -0,0 +1,217 @@
+package meter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/meter"
+)
+
+var tolerance = meter.Tolerance{
+	Ratio: 0.1,
+	Units: 20,
+}
+
+const span = 5 * time.Second
+
+// bound is what may be given out in any span.
+func bound(r document.Rate) float64 {
+	return (r.PerSecond*span.Seconds()+float64(r.Burst))*(1+tolerance.Ratio) + tolerance.Units
+}
+
+// fleet is one meter in each of three zones, which hear of each other.
+type fleet struct {
+	rate  document.Rate
+	zones []*meter.Rates
+	parts []float64
+	// given are the times at which units were given out.
+	given []time.Duration
+}
+
+var names = []string{"a", "b", "c"}
+
+func newFleet(rate document.Rate) *fleet {
+	f := &fleet{
+		rate:  rate,
+		parts: []float64{0.4, 0.3, 0.3},
+	}
+	for _, name := range names {
+		f.zones = append(f.zones, meter.NewRates(name, tolerance))
+	}
+	return f
+}
+
+func (f *fleet) spread(zone int) meter.Zones {
+	return meter.Zones{
+		Part:  f.parts[zone],
+		Count: len(names),
+	}
+}
+
+func (f *fleet) ask(now time.Duration, zone int) meter.Verdict {
+	v := f.zones[zone].Ask(now, f.rate, 1, f.spread(zone))
+	if v.Granted {
+		f.given = append(f.given, now)
+	}
+	return v
+}
+
+// exchange passes all demands between the zones.
+func (f *fleet) exchange(now time.Duration) {
+	for i, z := range f.zones {
+		rateOf := func(string) (document.Rate, bool) { return f.rate, true }
+		for _, d := range z.Demands(now, rateOf, f.spread(i)) {
+			for j, other := range f.zones {
+				if j != i {
+					other.Hear(now, f.rate, d, f.spread(j))
+				}
+			}
+		}
+	}
+}
+
+// most is the largest number of units that were given out in a span.
+func (f *fleet) most() int {
+	most, from := 0, 0
+	for i, at := range f.given {
+		for f.given[from] <= at-span {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+func someRate(perSecond float64) document.Rate {
+	return document.Rate{
+		Organisation: "orchard",
+		PerSecond:    perSecond,
+		Burst:        int(perSecond),
+	}
+}
+
+// A hot organisation whose callers move between zones, and keepers that are all
+// replaced at some moment.
+func TestRateHoldsInAnySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(someRate(rapid.Float64Range(3, 60).Draw(t, "rate")))
+		restart := time.Duration(rapid.IntRange(3000, 9000).Draw(t, "restart")) * time.Millisecond
+		weights := rapid.SliceOfN(rapid.IntRange(1, 10), 3, 3).Draw(t, "weights")
+		restarted := false
+		for now := time.Second; now < 14*time.Second; now += 10 * time.Millisecond {
+			if now >= restart && !restarted {
+				restarted = true
+				f.zones = newFleet(f.rate).zones
+			}
+			for zone, w := range weights {
+				for range w {
+					f.ask(now, zone)
+				}
+			}
+			if now%(500*time.Millisecond) == 0 {
+				f.exchange(now)
+			}
+		}
+		if most := f.most(); float64(most) > bound(f.rate) {
+			t.Fatalf("gave out %d in a span, %.1f allowed", most, bound(f.rate))
+		}
+	})
+}
+
+// One organisation asks eight times its rate for a while, and its callers come
+// back when they are told: those that are told to come back must not all be told
+// the same time.
+func TestHotOrganisationIsToldToComeBackInTurn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(someRate(48))
+	now := time.Second
+	for f.ask(now, 0).Granted {
+	}
+	var last time.Duration
+	for range 20 {
+		v := f.ask(now, 0)
+		is.True(!v.Granted)
+		is.True(v.RetryAfter >= last) // later callers get later times
+		last = v.RetryAfter
+	}
+	// 20 units at 0.4 of 48 a second (5% more, for the tolerance).
+	is.True(last > 900*time.Millisecond)
+	is.True(last < 1100*time.Millisecond)
+}
+
+// Calm organisations in zones of unequal use: within its rate over the whole
+// fleet, next to nothing may be refused.
+func TestOrganisationWithinItsRateIsHardlyRefused(t *testing.T) {
+	tests := []struct {
+		name    string
+		rate    document.Rate
+		periods []time.Duration
+	}{
+		{
+			name:    "even",
+			rate:    someRate(9),
+			periods: []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+		},
+		{
+			name:    "nearly all in one zone",
+			rate:    someRate(16),
+			periods: []time.Duration{80 * time.Millisecond, 2 * time.Second, 2 * time.Second},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(tt.rate)
+			asked, refused := 0, 0
+			for now := 20 * time.Second; now < 50*time.Second; now += 10 * time.Millisecond {
+				for zone, period := range tt.periods {
+					if now%period != 0 {
+						continue
+					}
+					asked++
+					if !f.ask(now, zone).Granted {
+						refused++
+					}
+				}
+				if now%(500*time.Millisecond) == 0 {
+					f.exchange(now)
+				}
+			}
+			t.Logf("%d of %d refused", refused, asked)
+			is.True(refused*100 <= asked) // one in a hundred
+		})
+	}
+}
+
+func TestBudgetHoldsInAnySpan(t *testing.T) {
+	is := is.New(t)
+	settings := meter.BudgetSettings{
+		Ratio:   0.2,
+		Minimum: 60,
+		Span:    10 * time.Second,
+	}
+	b := meter.NewBudget(settings)
+	var given []time.Duration
+	requests := 0
+	for now := time.Second; now < 40*time.Second; now += 20 * time.Millisecond {
+		requests++
+		if b.Ask(now, "desk", 1, 0.3) {
+			given = append(given, now)
+		}
+	}
+	is.True(requests > 0)
+	perSpan := float64(settings.Span / (20 * time.Millisecond))
+	allowed := settings.Ratio*perSpan + settings.Minimum*0.3
+	from := 0
+	for i, at := range given {
+		for given[from] <= at-settings.Span {
+			from++
+		}
+		is.True(float64(i-from+1) <= allowed)
+	}
+	is.True(len(given) > 0)
+}
