--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -165,7 +165,7 @@
 	news := false
 	g.belief.look(func() {
 		if s := g.belief.services[p.service]; s != nil {
-			news = s.table.Heard(boot.Now(), p.target.Name, target.TimedOut)
+			news = s.table.Overdue(boot.Now(), p.target.Name)
 		}
 	})
 	if news {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -45,7 +45,8 @@
 	doubtUntil time.Duration
 	// shedUntil ends the pause after a shed request.
 	shedUntil time.Duration
-	// failedAt is the time of the last server error; zero if there was none.
+	// failedAt is the time of the last weak sign of a failure; zero if there was
+	// none.
 	failedAt time.Duration
 }
 
@@ -195,39 +196,59 @@
 		return false
 	}
 	s.running = max(s.running-1, 0)
-	return t.judge(now, s, outcome)
+	return s.saw(now, outcome)
 }
 
-// Heard takes in an outcome at another instance, or one of a request that still
-// runs here.
-func (t *Table) Heard(now time.Duration, name string, outcome target.Outcome) bool {
+// Overdue takes in that a request still runs at a target though it should have
+// ended. It reports whether the other instances should learn of it.
+func (t *Table) Overdue(now time.Duration, name string) bool {
+	s := t.targets[name]
+	return s != nil && s.saw(now, target.TimedOut)
+}
+
+// Heard takes in what another instance saw.
+func (t *Table) Heard(now time.Duration, name string, outcome target.Outcome) {
 	s := t.targets[name]
 	if s == nil {
-		return false
+		return
+	}
+	switch outcome {
+	case target.Crashed, target.Truncated:
+		s.eject(now)
+	case target.Failed, target.TimedOut:
+		// The other instance's own link may be cut, so a late answer there is as
+		// weak a sign as one server error.
+		s.doubt(now)
 	}
-	return t.judge(now, s, outcome)
 }
 
-// judge reports whether the outcome is news.
-func (t *Table) judge(now time.Duration, s *state, outcome target.Outcome) bool {
+// saw takes in an outcome of the instance's own. It reports whether it is news
+// for others: that no connection was had may be due to the instance's link.
+func (s *state) saw(now time.Duration, outcome target.Outcome) bool {
+	out := now < s.outUntil
 	switch outcome {
 	case target.Failed:
-		again := s.failedAt != 0 && now-s.failedAt <= errorSpan
-		s.failedAt = max(now, 1)
-		if again {
-			s.eject(now)
-		}
+		s.doubt(now)
 		return true
-	case target.Crashed, target.Truncated, target.TimedOut, target.Refused:
-		news := now >= s.outUntil
+	case target.Crashed, target.Truncated, target.TimedOut:
+		s.eject(now)
+		return !out
+	case target.Refused:
 		s.eject(now)
-		return news
 	case target.Shed:
 		s.shedUntil = now + shedPause
 	}
 	return false
 }
 
+// doubt counts a weak sign of a failure. Two within errorSpan eject.
+func (s *state) doubt(now time.Duration) {
+	if s.failedAt != 0 && now-s.failedAt <= errorSpan {
+		s.eject(now)
+	}
+	s.failedAt = max(now, 1)
+}
+
 func (s *state) eject(now time.Duration) {
 	s.outUntil = now + ejection
 	s.doubtUntil = now + ejection + probation
