--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -20,9 +20,9 @@
 const (
 	// patienceFactor times the usual latency of a route is too long. One request
 	// in a hundred takes three to five times as long by itself.
-	patienceFactor = 4
+	patienceFactor = 3
 	// patienceLeast is the shortest patience.
-	patienceLeast = 500 * time.Millisecond
+	patienceLeast = time.Second
 	// usualSamples is how many answers make a usual latency.
 	usualSamples = 5
 	// usualWeight is the weight of a new sample in the average.
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -9,8 +9,8 @@
 // repeated is lost if the failure isn't over.
 //
 // A server error counts only when another one follows within seconds, since
-// some requests fail by themselves. When most targets are out, none is: then
-// failures don't tell the targets apart.
+// some requests fail by themselves. When all targets are out, the one that failed
+// the longest ago gets the work.
 //
 // # Usage
 //
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,9 +21,6 @@
 	shedPause = 300 * time.Millisecond
 	// errorSpan is within which two server errors eject a target.
 	errorSpan = 2 * time.Second
-	// panicPercent of all targets must be in use; with fewer, ejections are
-	// ignored.
-	panicPercent = 30
 )
 
 // Table is what one instance knows of one service's targets. Its methods must
@@ -112,17 +110,13 @@
 	return s.Target, true
 }
 
-// candidates are the best targets for the request: those in use, or all where
-// that leaves too few.
+// candidates are the best targets for the request. Where all are out it is the
+// one that failed the longest ago: its failure is the likeliest to be over.
 func (t *Table) candidates(now time.Duration, r Request) []*state {
 	var sound, doubtful, out []*state
-	all := 0
 	for _, s := range t.order {
-		if s.Leaving {
-			continue
-		}
-		all++
 		switch {
+		case s.Leaving:
 		case slices.Contains(r.Avoid, s.Name):
 		case now < s.outUntil || now < s.shedUntil:
 			out = append(out, s)
@@ -134,8 +128,8 @@
 	}
 	usable := len(sound) + len(doubtful)
 	switch {
-	case usable*100 < all*panicPercent:
-		return slices.Concat(sound, doubtful, out)
+	case usable == 0:
+		return oldest(out)
 	case !r.Repeatable && len(sound)*2 >= usable && len(sound) > 0:
 		return sound
 	default:
@@ -143,6 +137,16 @@
 	}
 }
 
+// oldest is the target that comes back first.
+func oldest(out []*state) []*state {
+	if len(out) == 0 {
+		return nil
+	}
+	return []*state{slices.MinFunc(out, func(a, b *state) int {
+		return cmp.Compare(max(a.outUntil, a.shedUntil), max(b.outUntil, b.shedUntil))
+	})}
+}
+
 // near keeps to the instance's own zone in proportion to how many of the zone's
 // targets are candidates, so that a zone with few of them isn't overrun.
 func (t *Table) near(candidates []*state) []*state {
