--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -148,8 +148,16 @@
 	return nil
 }
 
-// outcome is how a whole answer counts.
+// timeoutSlack is how much before its deadline a target may say that the time
+// is over.
+const timeoutSlack = 50 * time.Millisecond
+
+// outcome is how a whole answer counts. A target that says the time is over at
+// the deadline that it was given says nothing of itself.
 func (a *answer) outcome() target.Outcome {
+	if a.response.StatusCode == http.StatusGatewayTimeout && time.Until(a.placed.exchange.deadline) < timeoutSlack {
+		return target.Cancelled
+	}
 	if a.response.StatusCode >= http.StatusInternalServerError {
 		return target.Failed
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -173,6 +173,27 @@
 	}
 }
 
+// unknownPatience bounds the time at a target while the usual latency isn't
+// known yet.
+const unknownPatience = 3 * time.Second
+
+// outcome is how the attempt counts for the target: a request whose own time
+// was short tells nothing by ending, and another target at the address means
+// that this one isn't there.
+func (p *place) outcome(e entry.Ended) target.Outcome {
+	patience := p.patience
+	if patience == 0 {
+		patience = unknownPatience
+	}
+	switch {
+	case e.Elsewhere:
+		return target.Refused
+	case e.Outcome == target.TimedOut && e.Latency < patience:
+		return target.Cancelled
+	}
+	return e.Outcome
+}
+
 // Done implements entry.Slot.
 func (p *place) Done(e entry.Ended) {
 	if p.timer != nil {
@@ -180,10 +201,7 @@
 	}
 	g := p.gateway
 	news := false
-	outcome := e.Outcome
-	if e.Elsewhere {
-		outcome = target.Refused
-	}
+	outcome := p.outcome(e)
 	g.belief.look(func() {
 		s := g.belief.services[p.service]
 		if s == nil {
--- /dev/null
+++ b/pkg/outlier/table_test.go
@@ -0,0 +1,171 @@
+package outlier_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/outlier"
+	"dandelionmux/pkg/target"
+)
+
+// newTable returns a table of n targets, a third in each of the zones a, b, c.
+func newTable(n int) *outlier.Table {
+	t := outlier.New("a", rand.New(rand.NewPCG(1, 2)))
+	var list []target.Registration
+	for i := range n {
+		list = append(list, target.Registration{
+			Service: "desk",
+			Target: document.Target{
+				Name:    fmt.Sprintf("desk-%02d", i),
+				Address: fmt.Sprintf("10.0.0.%d:80", i),
+				Zone:    string(rune('a' + i%3)),
+				Slots:   6,
+			},
+		})
+	}
+	t.Update(0, list)
+	return t
+}
+
+// chosen counts the choices of many requests by target.
+func chosen(t *outlier.Table, now time.Duration, r outlier.Request) map[string]int {
+	counts := map[string]int{}
+	for range 600 {
+		c, ok := t.Choose(now, r)
+		if !ok {
+			continue
+		}
+		counts[c.Name]++
+		t.Done(now, c.Name, target.Succeeded)
+	}
+	return counts
+}
+
+const now = time.Minute
+
+func TestFailureAnywhereSparesTheOthers(t *testing.T) {
+	tests := []struct {
+		name    string
+		see     func(*outlier.Table)
+		ejected bool
+	}{
+		{
+			name:    "a connection died elsewhere",
+			see:     func(t *outlier.Table) { t.Heard(now, "desk-03", target.Crashed) },
+			ejected: true,
+		},
+		{
+			name:    "one server error elsewhere, as some requests fail by themselves",
+			see:     func(t *outlier.Table) { t.Heard(now, "desk-03", target.Failed) },
+			ejected: false,
+		},
+		{
+			name: "two server errors within a second",
+			see: func(t *outlier.Table) {
+				t.Heard(now-time.Second, "desk-03", target.Failed)
+				t.Heard(now, "desk-03", target.Failed)
+			},
+			ejected: true,
+		},
+		{
+			name:    "one late answer elsewhere, where a link may be cut",
+			see:     func(t *outlier.Table) { t.Heard(now, "desk-03", target.TimedOut) },
+			ejected: false,
+		},
+		{
+			name:    "an instance that can't connect elsewhere, where a link may be cut",
+			see:     func(t *outlier.Table) { t.Heard(now, "desk-03", target.Refused) },
+			ejected: false,
+		},
+		{
+			name:    "own connection not made",
+			see:     func(t *outlier.Table) { t.Done(now, "desk-03", target.Refused) },
+			ejected: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(11)
+			tt.see(table)
+			counts := chosen(table, now, outlier.Request{})
+			is.Equal(counts["desk-03"] == 0, tt.ejected)
+			is.True(counts["desk-00"] > 0 && counts["desk-06"] > 0) // the others go on
+		})
+	}
+}
+
+func TestOnlyWhatOthersMustKnowIsTold(t *testing.T) {
+	is := is.New(t)
+	table := newTable(11)
+	is.True(!table.Done(now, "desk-00", target.Succeeded))
+	is.True(!table.Done(now, "desk-00", target.Cancelled))
+	is.True(!table.Done(now, "desk-00", target.Refused)) // the own link may be cut
+	is.True(table.Done(now, "desk-01", target.Crashed))
+	is.True(!table.Done(now, "desk-01", target.Crashed)) // known already
+}
+
+// Four of eleven targets fail at once and two links of the instance are cut: the
+// other five get all the work, also though they are fewer than half.
+func TestFewTargetsLeftGetTheWork(t *testing.T) {
+	is := is.New(t)
+	table := newTable(6)
+	for i := range 5 {
+		table.Heard(now, fmt.Sprintf("desk-%02d", i), target.Crashed)
+	}
+	counts := chosen(table, now, outlier.Request{})
+	is.Equal(counts, map[string]int{"desk-05": 600})
+}
+
+func TestAllOutTakesTheOneThatFailedFirst(t *testing.T) {
+	is := is.New(t)
+	table := newTable(3)
+	table.Heard(now, "desk-00", target.Crashed)
+	table.Heard(now-time.Second, "desk-01", target.Crashed)
+	table.Heard(now, "desk-02", target.Crashed)
+	is.Equal(chosen(table, now, outlier.Request{}), map[string]int{"desk-01": 600})
+}
+
+func TestReturningTargetGetsRepeatableRequestsFirst(t *testing.T) {
+	is := is.New(t)
+	table := newTable(6)
+	table.Heard(now, "desk-03", target.Crashed)
+	back := now + 3*time.Second + time.Millisecond
+	is.Equal(chosen(table, back, outlier.Request{})["desk-03"], 0)
+	is.True(chosen(table, back, outlier.Request{Repeatable: true})["desk-03"] > 0)
+	is.True(chosen(table, back+20*time.Second, outlier.Request{})["desk-03"] > 0)
+}
+
+func TestOwnZoneGetsWorkWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	table := newTable(12)
+	counts := chosen(table, now, outlier.Request{})
+	is.Equal(len(counts), 4) // all four of the zone, and no other
+	table.Heard(now, "desk-00", target.Crashed)
+	table.Heard(now, "desk-03", target.Crashed)
+	counts = chosen(table, now, outlier.Request{})
+	own := counts["desk-06"] + counts["desk-09"]
+	is.True(own > 200 && own < 400) // half of the zone's targets get about half
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	table := outlier.New("a", rand.New(rand.NewPCG(1, 2)))
+	table.Update(now, []target.Registration{{
+		Service: "desk",
+		Target: document.Target{
+			Name:    "desk-00",
+			Address: "10.0.0.1:80",
+			Zone:    "a",
+			Slots:   6,
+			Leaving: true,
+		},
+	}})
+	_, ok := table.Choose(now, outlier.Request{})
+	is.True(!ok)
+}
