--- a/cmd/dandelionmux/platform.go
+++ b/cmd/dandelionmux/platform.go
@@ -31,7 +31,7 @@
 	logger := slog.New(slog.NewTextHandler(lines, nil))
 	if err := servePlatform(s, path, logger); err != nil {
 		logger.Error("instance failed",
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 		return exitFailed
 	}
 	return exitOK
@@ -74,7 +74,7 @@
 	switch {
 	case err != nil:
 		logger.Error("settings refused, the last good ones hold",
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 	case s != old:
 		logger.Warn("settings changed, they count from the next start on")
 	default:
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		log.Error("configuration refused",
 			slog.Int64("Counter", e.Version),
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 		return
 	}
 	if b.index != nil && d.Revision <= b.index.Revision() {
@@ -179,7 +179,7 @@
 	if err != nil {
 		log.Warn("registration refused",
 			slog.Int64("Counter", e.Version),
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 		return false
 	}
 	if !b.registry.Put(r) {
@@ -215,7 +215,7 @@
 	if err := json.Unmarshal(e.Value, &v); err != nil {
 		log.Warn("member refused",
 			slog.String("Member", string(address)),
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 		return
 	}
 	b.members[address] = member{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	peers     *http.Client
 
 	belief   *belief
+	backoff  backoff
 	asks     *asks
 	snapshot atomic.Pointer[entry.Snapshot]
 	leaving  atomic.Bool
@@ -199,7 +200,7 @@
 		if err := server.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
 			g.logger.Error("server failed",
 				slog.String("Address", g.listeners[listener].Addr().String()),
-				slog.Any("Error", err))
+				slog.String("Error", err.Error()))
 		}
 	})
 }
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -34,6 +34,7 @@
 		}
 		if err != nil {
 			g.storeFailed(ctx, "membership", err)
+			g.backoff.wait(ctx)
 			continue
 		}
 		if lease != 0 {
@@ -111,10 +112,10 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storePause)
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 	defer cancel()
 	if _, err := g.storeCall(ctx, store.RevokeLease{Lease: lease}); err != nil {
 		g.logger.Warn("registration left to lapse",
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 	}
 }
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -37,7 +37,7 @@
 		g.count("Peer.SendFailed")
 		g.logger.Debug("datagram not sent",
 			slog.String("Peer", string(to)),
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 	}
 }
 
@@ -58,7 +58,7 @@
 			g.count("Peer.Malformed")
 			g.logger.Warn("datagram refused",
 				slog.String("Peer", from.String()),
-				slog.Any("Error", err))
+				slog.String("Error", err.Error()))
 			continue
 		}
 		g.handle(instance.Address(from.String()), m)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,13 +60,13 @@
 	defer cancel()
 	pause(ctx, rotationLag)
 	err := g.entry.Shutdown(ctx)
-	if err != nil {
-		err = errors.Wrap(err, "stop")
-	}
 	g.logger.Info("stopped",
-		slog.Any("Error", err))
+		slog.Bool("Cut", err != nil))
 	g.Close()
-	return err
+	if err != nil {
+		return errors.Wrap(err, "stop")
+	}
+	return nil
 }
 
 // Close ends the instance at once.
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -28,8 +29,6 @@
 	watchTimeout = 10 * time.Second
 	// deafPatience is how long a watch may lag behind a proof.
 	deafPatience = 400 * time.Millisecond
-	// storePause is the least time between two failed calls.
-	storePause = 400 * time.Millisecond
 	// staleReader is the age of a reader's proof from which on another is
 	// sought. It is more than two periods and a slow answer.
 	staleReader = 1100 * time.Millisecond
@@ -49,6 +48,7 @@
 func (g *Gateway) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if g.empty() {
+			g.backoff.wait(ctx)
 			if err := g.listStore(ctx); err != nil {
 				g.storeFailed(ctx, "list", err)
 			}
@@ -105,22 +105,23 @@
 func (g *Gateway) storeCall(ctx context.Context, call store.Call) (store.Answer, error) {
 	answer, err := g.adapters.Store.Do(ctx, call)
 	if err != nil {
-		g.count("Store.Failed")
+		g.count(fmt.Sprintf("Store.Failed.%T", call))
+		g.backoff.failed(boot.Now())
 		return nil, err
 	}
-	g.count("Store.Answered")
+	g.count(fmt.Sprintf("Store.Answered.%T", call))
+	g.backoff.answered()
 	return answer, nil
 }
 
-// storeFailed logs a failed call and waits a little.
+// storeFailed logs a failed call.
 func (g *Gateway) storeFailed(ctx context.Context, what string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	g.logger.Warn("store call failed",
 		slog.String("Call", what),
-		slog.Any("Error", err))
-	pause(ctx, storePause)
+		slog.String("Error", err.Error()))
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -135,13 +136,21 @@
 // readStore watches and proves until another instance is to read, or the watch
 // has lost changes.
 func (g *Gateway) readStore(ctx context.Context) {
+	g.backoff.wait(ctx)
+	if err := g.proveOnce(ctx, callTimeout); err != nil {
+		g.storeFailed(ctx, "prove", err)
+		if g.stale() {
+			g.belief.hush(g.self.Address, staleSilence, "reader: own proof is stale")
+		}
+		return
+	}
 	g.logger.Info("reading the store for the zone")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.watchStore(ctx) })
 	group.Go(func() error { return g.proveStore(ctx) })
 	if err := group.Wait(); !errors.Is(err, errStop) {
 		g.logger.Warn("reading of the store interrupted",
-			slog.Any("Error", err))
+			slog.String("Error", err.Error()))
 	}
 }
 
@@ -154,6 +163,7 @@
 			}
 			if err != nil {
 				g.storeFailed(ctx, "watch", err)
+				g.backoff.wait(ctx)
 			}
 		}
 	}
@@ -219,15 +229,15 @@
 		if g.source() != g.self.Address {
 			return errStop
 		}
+		pause(ctx, proofPeriod)
 		if err := g.proveOnce(ctx, callTimeout); err != nil {
+			g.storeFailed(ctx, "prove", err)
 			if g.stale() {
-				g.belief.hush(g.self.Address, staleSilence, "reader: "+err.Error())
+				g.belief.hush(g.self.Address, staleSilence, "reader: own proof is stale")
 				return errStop
 			}
-			g.storeFailed(ctx, "prove", err)
-			continue
+			g.backoff.wait(ctx)
 		}
-		pause(ctx, proofPeriod)
 	}
 	return errStop
 }
@@ -275,6 +285,9 @@
 // catchUp looks at the store once without a reader, so that no change waits
 // until the next reader is found.
 func (g *Gateway) catchUp(ctx context.Context) {
+	if g.backoff.left(boot.Now()) > 0 {
+		return
+	}
 	if err := g.proveOnce(ctx, catchUpTimeout); err != nil {
 		g.count("Store.CatchUpFailed")
 		return
@@ -285,8 +298,6 @@
 		return
 	}
 	if err := g.listStore(ctx); err != nil {
-		g.logger.Warn("store call failed",
-			slog.String("Call", "catch up"),
-			slog.Any("Error", err))
+		g.storeFailed(ctx, "catch up", err)
 	}
 }
