--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -88,6 +88,8 @@
 		return false
 	case e.ran && !x.repeatable:
 		return false
+	case x.paid.Swap(false):
+		return true
 	}
 	return x.handler.ports.Dispatch.Retry(ctx, x.service, retry.Attempt{
 		Number:     n,
@@ -155,6 +157,9 @@
 	x.logAttempt(slot.Target().Name, n)
 	// The answer's body is read after this function, under this context too.
 	ctx, cancel := x.attemptContext(ctx, n, slot.Patience())
+	if wait := slot.Patience(); wait > 0 && x.repeatable && x.sendings+1 < x.maximumSendings() {
+		cancel = x.moveAfter(ctx, cancel, wait, n)
+	}
 	p := &placed{
 		exchange: x,
 		slot:     slot,
@@ -178,12 +183,11 @@
 
 // attemptContext leaves time for a second attempt where one is allowed, and
 // ends with the permit.
+// Where the slot knows how long an answer takes, moveAfter does that instead.
 func (x *exchange) attemptContext(ctx context.Context, n int, patience time.Duration) (context.Context, context.CancelFunc) {
 	limit := x.deadline
 	switch {
-	case !x.repeatable || x.sendings+1 >= x.maximumSendings():
-	case patience > 0:
-		limit = earlier(limit, time.Now().Add(patience))
+	case !x.repeatable || patience > 0:
 	case n == 1:
 		limit = time.Now().Add(time.Until(limit) * firstAttemptPercent / 100)
 	}
@@ -193,6 +197,29 @@
 	return context.WithDeadline(ctx, limit)
 }
 
+// moveAfter ends an attempt whose answer is overdue, if the retry that takes its
+// place is granted. Otherwise the attempt goes on: an answer that may still come
+// is better than none. A leaving instance ends nothing that a target works on.
+func (x *exchange) moveAfter(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) context.CancelFunc {
+	timer := time.AfterFunc(wait, func() {
+		if x.handler.ports.Snapshots.Current().Leaving || ctx.Err() != nil {
+			return
+		}
+		if x.handler.ports.Dispatch.Retry(ctx, x.service, retry.Attempt{
+			Number:     n,
+			Outcome:    target.TimedOut,
+			Repeatable: true,
+		}) {
+			x.paid.Store(true)
+			cancel()
+		}
+	})
+	return func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -307,3 +308,61 @@
 	is.Equal(got.outcome(), entry.NotRun)
 	is.Equal(w.executions("e1"), 0)
 }
+
+// All targets are slow, so an overdue answer has nowhere better to come from. The
+// request must not be ended for a retry that isn't granted, nor while the
+// instance is leaving.
+func TestOverdueAttemptIsMovedOnlyForAGrantedRetry(t *testing.T) {
+	const work = 300 * time.Millisecond
+	tests := []struct {
+		name      string
+		granted   bool
+		leaving   bool
+		cancelled uint64
+	}{
+		{
+			name: "retry not granted",
+		},
+		{
+			name:    "instance leaving",
+			granted: true,
+			leaving: true,
+		},
+		{
+			name:      "retry granted",
+			granted:   true,
+			cancelled: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newWorld(t, 2)
+			for i := range w.document.Routes {
+				w.document.Routes[i].Attempts = 2
+			}
+			w.publish()
+			w.impatient = &impatient{
+				wait:    50 * time.Millisecond,
+				granted: tt.granted,
+			}
+			for _, s := range w.targets {
+				s.SetFaults(standin.TargetFaults{SlowFactor: float64(work / time.Millisecond)})
+			}
+			if tt.leaving {
+				s := *w.snapshot.Load()
+				s.Leaving = true
+				w.snapshot.Store(&s)
+			}
+			is.Equal(w.call(http.MethodGet, "/bookings/1", "").status, http.StatusOK)
+			cancelled, arrived := uint64(0), uint64(0)
+			for _, s := range w.targets {
+				cancelled += s.Counts().Cancelled
+				arrived += s.Counts().Arrived
+			}
+			is.Equal(cancelled, tt.cancelled)
+			is.Equal(arrived, 1+tt.cancelled)
+		})
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,6 +40,8 @@
 
 	// sendings counts the attempts that may have reached a target.
 	sendings int
+	// paid is set once a retry was granted for the attempt under way.
+	paid atomic.Bool
 	// tried names the targets of earlier attempts.
 	tried []string
 	// spent is set once the grant was spent.
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -19,6 +19,7 @@
 	"dandelionmux/internal/standin"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/placement"
+	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
 )
 
@@ -37,6 +38,8 @@
 	began    time.Time
 	targets  []*standin.TargetServer
 	dispatch *dispatch.Dispatcher
+	// impatient, if set, stands before dispatch.
+	impatient *impatient
 	snapshot atomic.Pointer[entry.Snapshot]
 	document document.Document
 	claims   *fakeClaims
@@ -94,7 +97,7 @@
 		Snapshots: w,
 		Admission: w.grants,
 		Claims:    w.claims,
-		Dispatch:  w.dispatch,
+		Dispatch:  w,
 		Strikes:   w.strikes,
 	}))
 	t.Cleanup(w.server.Close)
@@ -148,6 +151,41 @@
 	}
 }
 
+// Acquire implements entry.Dispatch.
+func (w *world) Acquire(ctx context.Context, want entry.Want) (entry.Slot, error) {
+	slot, err := w.dispatch.Acquire(ctx, want)
+	if err != nil || w.impatient == nil {
+		return slot, err
+	}
+	return impatientSlot{
+		Slot: slot,
+		wait: w.impatient.wait,
+	}, nil
+}
+
+// Retry implements entry.Dispatch.
+func (w *world) Retry(ctx context.Context, service string, failed retry.Attempt) bool {
+	if w.impatient != nil {
+		return w.impatient.granted
+	}
+	return w.dispatch.Retry(ctx, service, failed)
+}
+
+// impatient makes slots that know how long an answer takes, and grants all
+// retries or none.
+type impatient struct {
+	wait    time.Duration
+	granted bool
+}
+
+type impatientSlot struct {
+	entry.Slot
+	wait time.Duration
+}
+
+// Patience implements entry.Slot.
+func (s impatientSlot) Patience() time.Duration { return s.wait }
+
 // publish puts the world's document in force.
 func (w *world) publish() {
 	var locations []document.KeyLocation
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -27,6 +28,9 @@
 	usualSamples = 5
 	// usualWeight is the weight of a new sample in the average.
 	usualWeight = 0.1
+	// unknownPatience holds for routes without an objective while their usual
+	// latency isn't known.
+	unknownPatience = 3 * time.Second
 	// noTargetRetry is when callers of a service without targets come back.
 	noTargetRetry = time.Second
 )
@@ -57,10 +61,11 @@
 	u.mean += time.Duration(usualWeight * float64(d-u.mean))
 }
 
-// patience is zero while too little is known.
-func (u *usual) patience() time.Duration {
+// patience is the route's objective while too little is known: an answer that
+// comes after it is late whatever is usual.
+func (u *usual) patience(objective time.Duration) time.Duration {
 	if u == nil || u.samples < usualSamples {
-		return 0
+		return cmp.Or(objective, unknownPatience)
 	}
 	return max(patienceFactor*u.mean, patienceLeast)
 }
@@ -94,7 +99,7 @@
 	if len(want.Avoid) == 0 {
 		s.begin(now, g.settings.RetryWindow)
 	}
-	patience := s.usual[want.Route.Name].patience()
+	patience := s.usual[want.Route.Name].patience(want.Route.Objective)
 	p := &place{
 		gateway:  g,
 		service:  want.Service,
@@ -102,9 +107,7 @@
 		target:   chosen,
 		patience: patience,
 	}
-	if patience > 0 {
-		p.timer = time.AfterFunc(patience, p.suspect)
-	}
+	p.timer = time.AfterFunc(patience, p.suspect)
 	return p, nil
 }
 
@@ -173,22 +176,14 @@
 	}
 }
 
-// unknownPatience bounds the time at a target while the usual latency isn't
-// known yet.
-const unknownPatience = 3 * time.Second
-
 // outcome is how the attempt counts for the target: a request whose own time
 // was short tells nothing by ending, and another target at the address means
 // that this one isn't there.
 func (p *place) outcome(e entry.Ended) target.Outcome {
-	patience := p.patience
-	if patience == 0 {
-		patience = unknownPatience
-	}
 	switch {
 	case e.Elsewhere:
 		return target.Refused
-	case e.Outcome == target.TimedOut && e.Latency < patience:
+	case e.Outcome == target.TimedOut && e.Latency < p.patience:
 		return target.Cancelled
 	}
 	return e.Outcome
@@ -196,9 +191,7 @@
 
 // Done implements entry.Slot.
 func (p *place) Done(e entry.Ended) {
-	if p.timer != nil {
-		p.timer.Stop()
-	}
+	p.timer.Stop()
 	g := p.gateway
 	news := false
 	outcome := p.outcome(e)
--- a/internal/gateway/dispatch_internal_test.go
+++ b/internal/gateway/dispatch_internal_test.go
@@ -29,7 +29,8 @@
 			want: target.Cancelled,
 		},
 		{
-			name: "deadline while nothing is known of the route",
+			name:     "deadline while nothing is known of the route",
+			patience: unknownPatience,
 			ended: entry.Ended{
 				Outcome: target.TimedOut,
 				Latency: 400 * time.Millisecond,
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -99,9 +99,14 @@
 }
 
 // Choose picks a target and counts the request there until Done. It reports
-// false if there is none that wasn't tried.
+// false if there is none.
 func (t *Table) Choose(now time.Duration, r Request) (document.Target, bool) {
 	candidates := t.candidates(now, r)
+	if len(candidates) == 0 && len(r.Avoid) > 0 {
+		// A target that was tried is better than none.
+		r.Avoid = nil
+		candidates = t.candidates(now, r)
+	}
 	if len(candidates) == 0 {
 		return document.Target{}, false
 	}
