Put a returning target on probation until it has served, and never heap work on one

Ruled out: lost news. Probation now lasts 9 s, or until two requests went well anywhere; second attempts avoid it; 20% of the targets stay in use.

--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -40,12 +40,12 @@
 	dispatch *dispatch.Dispatcher
 	// impatient, if set, stands before dispatch.
 	impatient *impatient
-	snapshot atomic.Pointer[entry.Snapshot]
-	document document.Document
-	claims   *fakeClaims
-	strikes  *fakeStrikes
-	grants   *fakeAdmission
-	server   *httptest.Server
+	snapshot  atomic.Pointer[entry.Snapshot]
+	document  document.Document
+	claims    *fakeClaims
+	strikes   *fakeStrikes
+	grants    *fakeAdmission
+	server    *httptest.Server
 }
 
 func newWorld(t *testing.T, targets int) *world {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -10,13 +10,25 @@
 	"dandelionmux/pkg/target"
 )
 
-// Terms of ejections. Targets with gray failures were measured to fail for
-// about 3 s at a time; see docs/PLATFORM.md for the trials.
+// Terms of ejections. Gray failures were measured to last for 2 to 30 s, half of
+// them longer than 6 s; see docs/PLATFORM.md for the runs.
 const (
-	// ejection is how long a target that failed gets no work.
+	// ejection is how long a target that failed gets no work. A repeatable
+	// request that tries it too soon costs a retry, which takes milliseconds.
 	ejection = 3 * time.Second
-	// probation is how long after that it gets repeatable requests only.
-	probation = 3 * time.Second
+	// probation is how long after that it gets no request that may not be
+	// repeated, unless it serves others well before.
+	probation = 9 * time.Second
+	// probationSuccesses end a probation. A failing target still answers a few
+	// requests in a hundred, so one doesn't.
+	probationSuccesses = 2
+	// soundPercent of the targets take the requests that may not be repeated,
+	// even if some of them are on probation: with fewer the others would be
+	// overrun at twice the usual load.
+	soundPercent = 40
+	// leastPercent of the targets are in use even if they have just failed: when
+	// so many fail they may be overrun, and fewer would only make it worse.
+	leastPercent = 20
 	// shedPause is how long a target that shed a request gets no other one.
 	shedPause = 300 * time.Millisecond
 	// errorSpan is within which two server errors eject a target.
@@ -38,9 +50,11 @@
 	document.Target
 	warmUntil time.Duration
 	running   int
-	// outUntil ends the ejection, and doubtUntil the probation after it.
+	// outUntil ends the ejection, and doubtUntil the probation after it, in which
+	// successes counts the requests that went well.
 	outUntil   time.Duration
 	doubtUntil time.Duration
+	successes  int
 	// shedUntil ends the pause after a shed request.
 	shedUntil time.Duration
 	// failedAt is the time of the last weak sign of a failure; zero if there was
@@ -115,13 +129,18 @@
 	return s.Target, true
 }
 
-// candidates are the best targets for the request. Where all are out it is the
-// one that failed the longest ago: its failure is the likeliest to be over.
+// candidates are the targets that the request may go to: the sound ones, those
+// on probation as far as it may try them, and where that leaves too few, those
+// whose failures are the oldest, which are the likeliest to be over.
 func (t *Table) candidates(now time.Duration, r Request) []*state {
 	var sound, doubtful, out []*state
+	all := 0
 	for _, s := range t.order {
+		if s.Leaving {
+			continue
+		}
+		all++
 		switch {
-		case s.Leaving:
 		case slices.Contains(r.Avoid, s.Name):
 		case now < s.outUntil || now < s.shedUntil:
 			out = append(out, s)
@@ -131,25 +150,26 @@
 			sound = append(sound, s)
 		}
 	}
-	usable := len(sound) + len(doubtful)
-	switch {
-	case usable == 0:
-		return oldest(out)
-	case !r.Repeatable && len(sound)*2 >= usable && len(sound) > 0:
-		return sound
-	default:
-		return append(sound, doubtful...)
+	if r.Repeatable && len(r.Avoid) == 0 {
+		sound = append(sound, doubtful...)
+		doubtful = nil
 	}
+	sound = fill(sound, doubtful, share(all, soundPercent))
+	return fill(sound, out, share(all, leastPercent))
 }
 
-// oldest is the target that comes back first.
-func oldest(out []*state) []*state {
-	if len(out) == 0 {
-		return nil
+// share is a percentage of all targets, one at least.
+func share(all, percent int) int { return max((all*percent+99)/100, 1) }
+
+// fill adds targets up to a number, those whose failures are the oldest first.
+func fill(list, more []*state, number int) []*state {
+	if len(list) >= number {
+		return list
 	}
-	return []*state{slices.MinFunc(out, func(a, b *state) int {
-		return cmp.Compare(max(a.outUntil, a.shedUntil), max(b.outUntil, b.shedUntil))
-	})}
+	slices.SortFunc(more, func(a, b *state) int {
+		return cmp.Compare(max(a.doubtUntil, a.shedUntil), max(b.doubtUntil, b.shedUntil))
+	})
+	return append(list, more[:min(number-len(list), len(more))]...)
 }
 
 // near keeps to the instance's own zone in proportion to how many of the zone's
@@ -222,6 +242,8 @@
 		return
 	}
 	switch outcome {
+	case target.Succeeded:
+		s.succeeded(now)
 	case target.Crashed, target.Truncated:
 		s.eject(now)
 	case target.Failed, target.TimedOut:
@@ -236,6 +258,8 @@
 func (s *state) saw(now time.Duration, outcome target.Outcome) bool {
 	out := now < s.outUntil
 	switch outcome {
+	case target.Succeeded:
+		return s.succeeded(now)
 	case target.Failed:
 		s.doubt(now)
 		return true
@@ -258,7 +282,20 @@
 	s.failedAt = max(now, 1)
 }
 
+// succeeded counts a success of a target on probation, which it reports.
+func (s *state) succeeded(now time.Duration) bool {
+	if now < s.outUntil || now >= s.doubtUntil {
+		return false
+	}
+	s.successes++
+	if s.successes >= probationSuccesses {
+		s.doubtUntil = now
+	}
+	return true
+}
+
 func (s *state) eject(now time.Duration) {
+	s.successes = 0
 	s.outUntil = now + ejection
 	s.doubtUntil = now + ejection + probation
 }
