--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -67,7 +67,7 @@
 
 // enrol writes the member's key, over what an earlier run may have left there.
 func (g *Gateway) enrol(ctx context.Context, lease store.LeaseID, value []byte) error {
-	expected := int64(0)
+	expected := g.memberVersion(ctx)
 	for {
 		answer, err := g.storeCall(ctx, store.Swap{
 			Key:      g.memberKey(),
@@ -89,6 +89,30 @@
 	}
 }
 
+// memberVersion is the version of what an earlier run left under the member's
+// key. It waits a little for the first list of the store, which tells.
+func (g *Gateway) memberVersion(ctx context.Context) int64 {
+	var changed chan struct{}
+	var version int64
+	known := false
+	for {
+		g.belief.look(func() {
+			changed = g.belief.changed
+			known = g.belief.mirror.Counter() > 0
+			e, _ := g.belief.mirror.Entry(g.memberKey())
+			version = e.Version
+		})
+		if known {
+			return version
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
 // renew renews the lease. It returns zero if the lease is no more.
 func (g *Gateway) renew(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -19,7 +19,7 @@
 const (
 	// proofPeriod is the time between two proofs of a reader. It bounds how old a
 	// configuration the zone may act on while the reader's watch is silent.
-	proofPeriod = 400 * time.Millisecond
+	proofPeriod = 600 * time.Millisecond
 	// callTimeout bounds a call to the store, which answers in 4 ms; slow days
 	// take 60 times as long.
 	callTimeout = 1500 * time.Millisecond
@@ -27,6 +27,9 @@
 	listTimeout = 4 * time.Second
 	// watchTimeout bounds one watch. A silent connection is found by a proof.
 	watchTimeout = 10 * time.Second
+	// watchPause lets changes gather before the next watch, so that a hundred
+	// members that start together don't cost a call each.
+	watchPause = 40 * time.Millisecond
 	// deafPatience is how long a watch may lag behind a proof.
 	deafPatience = 400 * time.Millisecond
 	// staleReader is the age of a reader's proof from which on another is
@@ -198,6 +201,7 @@
 	g.belief.update(func(m *mirror.Mirror) []store.Entry {
 		return m.Change(changes.Entries, changes.Counter)
 	})
+	pause(ctx, watchPause)
 	return nil
 }
 
