Let instances in tests pick their own ports

Cause: the harness listened on port 0, let the port go and passed it on; beside load something else took it first (bind: address already in use). The instance already says where it listens. A gateway can listen on port 0 too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,6 @@
 		registry: metrics.NewRegistry(),
 		self: instance.Info{
 			ID: instance.ID{
-				Address:     instance.Address(s.PeerAddress),
 				Incarnation: uint64(time.Now().UnixNano()),
 			},
 			Zone: s.Zone,
@@ -94,12 +93,13 @@
 	for _, o := range options {
 		o(g)
 	}
-	g.belief = newBelief(g)
 	g.snapshot.Store(&entry.Snapshot{})
 	if err := g.listen(); err != nil {
 		g.closeListeners()
 		return nil, err
 	}
+	g.self.Address = instance.Address(g.address(peerListener))
+	g.belief = newBelief(g)
 	g.run()
 	return g, nil
 }
@@ -116,17 +116,21 @@
 	g.snapshot.Store(&next)
 }
 
-// listen opens all sockets. The order is that of serve.
+// Indexes of the listeners.
+const (
+	entryListener = iota
+	readyListener
+	peerListener
+	metricsListener
+)
+
+// listen opens all sockets. Datagrams of peers come to the port of their streams.
 func (g *Gateway) listen() error {
-	var err error
-	if g.datagrams, err = listenPeers(g.settings.PeerAddress); err != nil {
-		return err
-	}
 	for _, address := range []string{
-		g.settings.EntryAddress,
-		g.settings.ReadyAddress,
-		g.settings.PeerAddress,
-		g.settings.MetricsAddress,
+		entryListener:   g.settings.EntryAddress,
+		readyListener:   g.settings.ReadyAddress,
+		peerListener:    g.settings.PeerAddress,
+		metricsListener: g.settings.MetricsAddress,
 	} {
 		l, err := net.Listen("tcp4", address)
 		if err != nil {
@@ -134,9 +138,23 @@
 		}
 		g.listeners = append(g.listeners, l)
 	}
-	return nil
+	var err error
+	g.datagrams, err = listenPeers(g.address(peerListener))
+	return err
 }
 
+// address is where a listener listens.
+func (g *Gateway) address(listener int) string { return g.listeners[listener].Addr().String() }
+
+// EntryAddress is where callers connect.
+func (g *Gateway) EntryAddress() string { return g.address(entryListener) }
+
+// ReadyAddress is where the balancer asks.
+func (g *Gateway) ReadyAddress() string { return g.address(readyListener) }
+
+// MetricsAddress is where counters are read.
+func (g *Gateway) MetricsAddress() string { return g.address(metricsListener) }
+
 func (g *Gateway) closeListeners() {
 	if g.datagrams != nil {
 		_ = g.datagrams.Close()
@@ -164,10 +182,10 @@
 		entry.WithClient(forward.New(
 			forward.WithIdleTimeout(targetIdle),
 			forward.WithDialTimeout(targetDial))))
-	g.serve(0, handler)
-	g.serve(1, http.HandlerFunc(g.serveReady))
-	g.serve(2, http.HandlerFunc(g.serveMirror))
-	g.serve(3, http.HandlerFunc(g.serveMetrics))
+	g.serve(entryListener, handler)
+	g.serve(readyListener, http.HandlerFunc(g.serveReady))
+	g.serve(peerListener, http.HandlerFunc(g.serveMirror))
+	g.serve(metricsListener, http.HandlerFunc(g.serveMetrics))
 	g.entry = g.servers[0]
 	g.task(g.receive)
 	g.task(func() { g.follow(ctx) })
@@ -176,8 +194,8 @@
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
 		slog.String("Zone", g.settings.Zone),
-		slog.String("Entry", g.settings.EntryAddress),
-		slog.String("Peer", g.settings.PeerAddress))
+		slog.String("Entry", g.EntryAddress()),
+		slog.String("Peer", string(g.self.Address)))
 }
 
 func (g *Gateway) task(f func()) {
--- a/test/process/world_test.go
+++ b/test/process/world_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -85,19 +84,12 @@
 
 func zone(i int) string { return string(rune('a' + i%3)) }
 
-// freeAddress finds an address that nothing listens on now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// startInstance starts an instance and puts it on the instance list.
+// startInstance starts an instance and puts it on the instance list. The
+// instance picks its ports itself and says which: a port that is picked here and
+// let go may be another's by the time that the instance listens.
 func (f *fleet) startInstance(zone string, extra ...string) *running {
 	f.t.Helper()
-	return f.startInstanceAt(freeAddress(f.t), zone, extra...)
+	return f.startInstanceAt("127.0.0.1:0", zone, extra...)
 }
 
 // startInstanceAt starts an instance at a peer address.
