Let zones lend each other parts of a rate

Now a part leaves the lender before it reaches the borrower, and comes back later than it ends there.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -175,50 +175,73 @@
 	return b.index.Rate(organisation)
 }
 
-// tellDemands tells the keepers in other zones about busy organisations.
-func (g *Gateway) tellDemands() {
+// tellWants tells the keepers in other zones which organisations are busy here.
+func (g *Gateway) tellWants() {
 	b := g.belief
-	to := map[instance.Address][]meter.Demand{}
+	to := map[instance.Address][]meter.Want{}
 	b.look(func() {
-		list := b.rates.Demands(boot.Now(), b.rateOf, b.roster.Zones(g.settings.Zones))
-		for _, d := range list {
-			if b.roster.Keeper(rate.String(), d.Organisation, b.quiet) != g.self.Address {
+		for _, w := range b.rates.Wants(boot.Now(), b.rateOf, b.roster.Zones(g.settings.Zones)) {
+			if b.roster.Keeper(rate.String(), w.Organisation, b.quiet) != g.self.Address {
 				continue
 			}
-			for _, envoy := range b.roster.Envoys(rate.String(), d.Organisation, b.quiet) {
-				to[envoy] = append(to[envoy], d)
+			for _, envoy := range b.roster.Envoys(rate.String(), w.Organisation, b.quiet) {
+				to[envoy] = append(to[envoy], w)
 			}
 		}
 	})
 	for envoy, list := range to {
-		g.send(envoy, demands{
-			List: list,
-			Pass: true,
+		g.send(envoy, wants{
+			List:     list,
+			Borrower: g.self.Address,
+			Pass:     true,
 		})
 	}
 }
 
-// hearDemands takes in what another zone told. Who keeps an organisation here may
+// hearWants answers what another zone wants. Who keeps an organisation here may
 // look different from there, so what isn't for this instance is passed on once.
-func (g *Gateway) hearDemands(m demands) {
+func (g *Gateway) hearWants(m wants) {
 	b := g.belief
-	elsewhere := map[instance.Address][]meter.Demand{}
+	elsewhere := map[instance.Address][]meter.Want{}
+	var lent []meter.Offer
 	b.look(func() {
-		for _, d := range m.List {
-			keeper := b.roster.Keeper(rate.String(), d.Organisation, b.quiet)
-			r, ok := b.rateOf(d.Organisation)
-			switch {
-			case !ok:
-			case m.Pass && keeper != g.self.Address:
-				elsewhere[keeper] = append(elsewhere[keeper], d)
-			default:
-				b.rates.Hear(boot.Now(), r, d, b.roster.Zones(g.settings.Zones))
+		zones := b.roster.Zones(g.settings.Zones)
+		for _, w := range m.List {
+			keeper := b.roster.Keeper(rate.String(), w.Organisation, b.quiet)
+			if m.Pass && keeper != g.self.Address {
+				elsewhere[keeper] = append(elsewhere[keeper], w)
+				continue
+			}
+			r, ok := b.rateOf(w.Organisation)
+			if !ok {
+				continue
+			}
+			if o, ok := b.rates.Lend(boot.Now(), r, w, zones); ok {
+				lent = append(lent, o)
 			}
 		}
 	})
 	for keeper, list := range elsewhere {
-		g.send(keeper, demands{
-			List: list,
+		g.send(keeper, wants{
+			List:     list,
+			Borrower: m.Borrower,
 		})
 	}
+	if len(lent) > 0 {
+		g.send(m.Borrower, offers{
+			List: lent,
+		})
+	}
+}
+
+// hearOffers takes in what another zone lends.
+func (g *Gateway) hearOffers(m offers) {
+	b := g.belief
+	b.look(func() {
+		for _, o := range m.List {
+			if r, ok := b.rateOf(o.Organisation); ok {
+				b.rates.Borrow(boot.Now(), r, o, b.roster.Zones(g.settings.Zones))
+			}
+		}
+	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/forward"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
 )
 
 // Limits of the servers towards callers and peers.
@@ -228,8 +229,8 @@
 // Periods of the tick.
 const (
 	tickPeriod = 100 * time.Millisecond
-	// demandTicks is how many ticks pass between two reports of demands.
-	demandTicks = 5
+	// wantTicks is how many ticks pass between two reports of wants.
+	wantTicks = int(meter.ReportPeriod / tickPeriod)
 )
 
 // tick does what is due by time alone.
@@ -243,8 +244,8 @@
 		case <-ticker.C:
 		}
 		g.belief.expire(boot.Now())
-		if n%demandTicks == 0 {
-			g.tellDemands()
+		if n%wantTicks == 0 {
+			g.tellWants()
 		}
 	}
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -7,12 +7,14 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/target"
 )
 
-// message is a datagram between instances: ask, verdict, failure or demands.
+// message is a datagram between instances: ask, verdict, failure, wants or
+// offers.
 type message interface{ message() }
 
 // ask wants a unit of an organisation's rate or a retry of a service's budget.
@@ -43,17 +45,25 @@
 	Pass bool
 }
 
-// demands tells what another zone asks of the organisations' rates.
-type demands struct {
-	List []meter.Demand
+// wants tells what another zone lacks of the organisations' rates.
+type wants struct {
+	List []meter.Want
+	// Borrower is the keeper to whom offers go.
+	Borrower instance.Address
 	// Pass asks the receiver to tell the keepers of its zone.
 	Pass bool
 }
 
+// offers tells what another zone lends.
+type offers struct {
+	List []meter.Offer
+}
+
 func (ask) message()     {}
 func (verdict) message() {}
 func (failure) message() {}
-func (demands) message() {}
+func (wants) message()   {}
+func (offers) message()  {}
 
 // kind is what an instance keeps for its zone.
 type kind uint64
@@ -77,7 +87,8 @@
 	askType = iota + 1
 	verdictType
 	failureType
-	demandsType
+	wantsType
+	offersType
 )
 
 const (
@@ -92,7 +103,7 @@
 	fieldOutcome
 	fieldSuspect
 	fieldPass
-	fieldDemand
+	fieldPart
 )
 
 // perThousand keeps three decimals of a rate in an integer.
@@ -121,19 +132,31 @@
 			b = text(b, fieldSuspect, string(m.Suspect[:]))
 		}
 		return number(b, fieldPass, protowire.EncodeBool(m.Pass))
-	case demands:
-		b := number(nil, fieldType, demandsType)
-		for _, d := range m.List {
-			one := text(nil, fieldName, d.Organisation)
-			one = text(one, fieldService, d.Zone)
-			one = number(one, fieldAmount, uint64(math.Round(d.PerSecond*perThousand)))
-			b = text(b, fieldDemand, string(one))
+	case wants:
+		b := number(nil, fieldType, wantsType)
+		for _, w := range m.List {
+			b = part(b, w.Organisation, w.Zone, w.PerSecond)
 		}
+		b = text(b, fieldService, string(m.Borrower))
 		return number(b, fieldPass, protowire.EncodeBool(m.Pass))
+	case offers:
+		b := number(nil, fieldType, offersType)
+		for _, o := range m.List {
+			b = part(b, o.Organisation, o.Zone, o.PerSecond)
+		}
+		return b
 	}
 	return nil
 }
 
+// part appends a part of an organisation's rate.
+func part(b []byte, organisation, zone string, perSecond float64) []byte {
+	one := text(nil, fieldName, organisation)
+	one = text(one, fieldService, zone)
+	one = number(one, fieldAmount, uint64(math.Round(perSecond*perThousand)))
+	return text(b, fieldPart, string(one))
+}
+
 func number(b []byte, n protowire.Number, v uint64) []byte {
 	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
 }
@@ -144,9 +167,9 @@
 
 // fields are what a datagram holds, before its type is known.
 type fields struct {
-	numbers [fieldDemand + 1]uint64
-	texts   [fieldDemand + 1]string
-	demands []meter.Demand
+	numbers [fieldPart + 1]uint64
+	texts   [fieldPart + 1]string
+	parts   []meter.Want
 }
 
 var errMalformed = errors.New("malformed message")
@@ -155,28 +178,28 @@
 func parse(b []byte) (fields, error) {
 	var f fields
 	err := eachField(b, func(n protowire.Number, v uint64, content []byte) error {
-		if n > fieldDemand {
+		if n > fieldPart {
 			return nil
 		}
 		f.numbers[n] = v
 		f.texts[n] = string(content)
-		if n == fieldDemand {
-			return f.addDemand(content)
+		if n == fieldPart {
+			return f.addPart(content)
 		}
 		return nil
 	})
 	return f, err
 }
 
-func (f *fields) addDemand(b []byte) error {
-	d, err := parse(b)
+func (f *fields) addPart(b []byte) error {
+	p, err := parse(b)
 	if err != nil {
 		return err
 	}
-	f.demands = append(f.demands, meter.Demand{
-		Organisation: d.texts[fieldName],
-		Zone:         d.texts[fieldService],
-		PerSecond:    float64(d.numbers[fieldAmount]) / perThousand,
+	f.parts = append(f.parts, meter.Want{
+		Organisation: p.texts[fieldName],
+		Zone:         p.texts[fieldService],
+		PerSecond:    float64(p.numbers[fieldAmount]) / perThousand,
 	})
 	return nil
 }
@@ -212,11 +235,18 @@
 		}
 		copy(m.Suspect[:], f.texts[fieldSuspect])
 		return m, nil
-	case demandsType:
-		return demands{
-			List: f.demands,
-			Pass: protowire.DecodeBool(f.numbers[fieldPass]),
+	case wantsType:
+		return wants{
+			List:     f.parts,
+			Borrower: instance.Address(f.texts[fieldService]),
+			Pass:     protowire.DecodeBool(f.numbers[fieldPass]),
 		}, nil
+	case offersType:
+		m := offers{}
+		for _, p := range f.parts {
+			m.List = append(m.List, meter.Offer(p))
+		}
+		return m, nil
 	}
 	return nil, errors.Wrapf(errMalformed, "type %d", f.numbers[fieldType])
 }
--- /dev/null
+++ b/internal/gateway/message_internal_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"dandelionmux/pkg/meter"
+	"dandelionmux/pkg/quarantine"
+	"dandelionmux/pkg/target"
+)
+
+func TestMessagesComeThroughTheWire(t *testing.T) {
+	tests := []struct {
+		name string
+		m    message
+	}{
+		{
+			name: "ask",
+			m: ask{
+				Number: 7,
+				Kind:   budget,
+				Name:   "desk",
+				Amount: 3,
+			},
+		},
+		{
+			name: "verdict",
+			m: verdict{
+				Number: 7,
+				Verdict: meter.Verdict{
+					Granted:    true,
+					RetryAfter: 250 * time.Millisecond,
+				},
+			},
+		},
+		{
+			name: "failure with a suspect",
+			m: failure{
+				Service: "desk",
+				Target:  "desk-1",
+				Outcome: target.Crashed,
+				Suspect: quarantine.Fingerprint{1, 2, 3},
+				Pass:    true,
+			},
+		},
+		{
+			name: "wants",
+			m: wants{
+				List: []meter.Want{{
+					Organisation: "orchard",
+					Zone:         "a",
+					PerSecond:    1.5,
+				}},
+				Borrower: "10.0.0.1:7000",
+				Pass:     true,
+			},
+		},
+		{
+			name: "offers",
+			m: offers{
+				List: []meter.Offer{{
+					Organisation: "orchard",
+					Zone:         "b",
+					PerSecond:    0.25,
+				}},
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := decode(encode(tt.m))
+			is.NoErr(err)
+			is.Equal(got, tt.m)
+			_, err = decode(encode(tt.m)[:3])
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestAnyBytesAreRefusedOrRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
+		_, _ = decode(b)
+		_, _ = decodeCopied(b)
+	})
+}
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -77,7 +77,9 @@
 		g.asks.answer(m)
 	case failure:
 		g.hear(from, m)
-	case demands:
-		g.hearDemands(m)
+	case wants:
+		g.hearWants(m)
+	case offers:
+		g.hearOffers(m)
 	}
 }
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -8,17 +8,27 @@
 	"dandelionmux/pkg/document"
 )
 
+// ReportPeriod is the time between two asks of a busy zone: short enough that
+// a burst of a second finds the other zones' unused parts.
+const ReportPeriod = 300 * time.Millisecond
+
 // Limits of Rates.
 const (
 	// demandSpan is how long a zone's demand is measured over: long enough to see
 	// a few requests of a small organisation, short enough to follow a burst.
 	demandSpan = 2 * time.Second
-	// reportTerm is how long another zone's report counts.
-	reportTerm = 2 * time.Second
-	// hotPercent of a zone's part in use makes it tell the other zones.
-	hotPercent = 60
-	// leastPercent of its even part stays with a zone whatever the others ask.
-	leastPercent = 30
+	// loanTerm is how long a zone uses what another lends, from when it hears of
+	// it, and loanSlack how much longer the lender does without it: a datagram
+	// that takes longer than that is counted as lost by all that know of it.
+	loanTerm  = 3 * ReportPeriod
+	loanSlack = time.Second
+	// busyPercent of a zone's part in use makes it ask the other zones.
+	busyPercent = 60
+	// headroomPercent of a zone's demand is what it wants, and what it keeps
+	// before it lends.
+	headroomPercent = 130
+	// keptPercent of its part is never lent, for the first requests there.
+	keptPercent = 20
 	// startPercent of its burst is in a fresh bucket: a restarted one doesn't
 	// know what its predecessor gave out.
 	startPercent = 30
@@ -66,18 +76,27 @@
 	demand *Window
 	// due is when the last of those that were told to come back is due.
 	due time.Duration
-	// own is the zone's newest report to the others, and others are theirs. Parts
-	// follow from reports only: if a zone counted what it hasn't told yet, all
-	// zones would take the largest part at once when an organisation becomes hot.
-	own    report
-	others map[string]report
-	// told is when the others last told that they are short.
-	told time.Duration
+	// lent and borrowed are parts of the rate by the other zone.
+	lent     map[string]loan
+	borrowed map[string]loan
 }
 
-type report struct {
-	demand float64
-	at     time.Duration
+// loan is a part of a rate, in units a second, until a time.
+type loan struct {
+	perSecond float64
+	until     time.Duration
+}
+
+func sum(loans map[string]loan, now time.Duration) float64 {
+	all := 0.0
+	for zone, l := range loans {
+		if now >= l.until {
+			delete(loans, zone)
+			continue
+		}
+		all += l.perSecond
+	}
+	return all
 }
 
 // Zones is how the instances are spread.
@@ -104,13 +123,22 @@
 	Level     float64
 }
 
-// Demand is what one zone asks of one organisation's rate, in units a second.
-type Demand struct {
+// Want is what a zone lacks of an organisation's rate, in units a second.
+type Want struct {
 	Organisation string
 	Zone         string
 	PerSecond    float64
 }
 
+// Offer is what one zone lends another of an organisation's rate, in units a
+// second. It counts for a short term from its arrival.
+type Offer struct {
+	Organisation string
+	// Zone is the lender.
+	Zone      string
+	PerSecond float64
+}
+
 // NewRates returns the meter of a zone.
 func NewRates(zone string, t Tolerance) *Rates {
 	return &Rates{
@@ -155,10 +183,11 @@
 	b := r.buckets[rate.Organisation]
 	if b == nil {
 		b = &bucket{
-			level:  max(r.tolerance.burst(rate)*zones.part()*startPercent/100, 1),
-			filled: now,
-			demand: NewWindow(demandSpan),
-			others: map[string]report{},
+			level:    max(r.tolerance.burst(rate)*zones.part()*startPercent/100, 1),
+			filled:   now,
+			demand:   NewWindow(demandSpan),
+			lent:     map[string]loan{},
+			borrowed: map[string]loan{},
 		}
 		r.buckets[rate.Organisation] = b
 	}
@@ -167,72 +196,76 @@
 
 // fill adds what came in since, and returns the zone's part in units a second.
 func (r *Rates) fill(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
-	part := b.part(now, zones, r.zone)
-	perSecond := r.tolerance.perSecond(rate) * part
-	burst := max(r.tolerance.burst(rate)*part, 1)
+	own := r.tolerance.perSecond(rate) * zones.part()
+	perSecond := max(own-sum(b.lent, now)+sum(b.borrowed, now), 0)
+	burst := max(r.tolerance.burst(rate)*zones.part(), 1)
 	b.level = min(b.level+perSecond*(now-b.filled).Seconds(), burst)
 	b.filled = now
 	return perSecond
 }
 
-// part is the zone's part of the rate. While no zone is short it is the zone's
-// part of the instances; else it follows the zones' demands, as far as they are
-// known. Every zone keeps a part of its even one, so that the first request
-// there isn't refused.
-func (b *bucket) part(now time.Duration, zones Zones, zone string) float64 {
-	own := b.own.demand
-	sum, heard := 0.0, 0
-	for name, o := range b.others {
-		if now-o.at <= reportTerm && name != zone {
-			sum += o.demand
-			heard++
-		}
-	}
-	if heard < zones.Count-1 || now-b.own.at > reportTerm || own+sum <= 0 {
-		return zones.part()
-	}
-	least := zones.part() * leastPercent / 100
-	return least + (1-float64(leastPercent)/100)*own/(own+sum)
-}
-
-func (b *bucket) perSecond(now time.Duration) float64 {
-	return b.demand.Sum(now) / demandSpan.Seconds()
+// wanted is what the zone would like to have of the rate, in units a second.
+func (b *bucket) wanted(now time.Duration) float64 {
+	return b.demand.Sum(now) / demandSpan.Seconds() * headroomPercent / 100
 }
 
-// Hear takes in another zone's demand.
-func (r *Rates) Hear(now time.Duration, rate document.Rate, d Demand, zones Zones) {
-	b := r.bucket(now, rate, zones)
-	b.others[d.Zone] = report{
-		demand: d.PerSecond,
-		at:     now,
-	}
-	b.told = now
-}
-
-// Demands lists what the other zones should know: the organisations that use
-// most of this zone's part, and those about which another zone has just told.
-func (r *Rates) Demands(now time.Duration, rateOf func(string) (document.Rate, bool), zones Zones) []Demand {
-	var list []Demand
+// Wants lists what the zone lacks, for the other zones.
+func (r *Rates) Wants(now time.Duration, rateOf func(string) (document.Rate, bool), zones Zones) []Want {
+	var list []Want
 	for name, b := range r.buckets {
 		rate, ok := rateOf(name)
 		if !ok {
 			delete(r.buckets, name)
 			continue
 		}
-		demand := b.perSecond(now)
-		hot := demand*100 > rate.PerSecond*zones.part()*hotPercent
-		if hot || b.told != 0 && now-b.told <= reportTerm {
-			b.own = report{
-				demand: demand,
-				at:     now,
-			}
-			list = append(list, Demand{
+		own := r.tolerance.perSecond(rate) * zones.part()
+		wanted := b.wanted(now)
+		if wanted*100 > own*busyPercent*headroomPercent/100 {
+			list = append(list, Want{
 				Organisation: name,
 				Zone:         r.zone,
-				PerSecond:    demand,
+				PerSecond:    max(wanted-own, own*(100-busyPercent)/100),
 			})
 		}
 	}
-	slices.SortFunc(list, func(a, b Demand) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	slices.SortFunc(list, func(a, b Want) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	return list
 }
+
+// Lend answers another zone's want with what this zone doesn't need. The zone
+// does without it from now on, whether the offer arrives or not.
+func (r *Rates) Lend(now time.Duration, rate document.Rate, w Want, zones Zones) (Offer, bool) {
+	b := r.bucket(now, rate, zones)
+	r.fill(b, now, rate, zones)
+	own := r.tolerance.perSecond(rate) * zones.part()
+	lent := sum(b.lent, now) - b.lent[w.Zone].perSecond
+	spare := own - max(b.wanted(now), own*keptPercent/100) - lent
+	offered := min(spare, w.PerSecond)
+	held, ok := b.lent[w.Zone]
+	if offered <= 0 {
+		return Offer{}, false
+	}
+	if ok {
+		// The other zone may still use the earlier offer.
+		held.perSecond = max(held.perSecond, offered)
+	} else {
+		held.perSecond = offered
+	}
+	held.until = now + loanTerm + loanSlack
+	b.lent[w.Zone] = held
+	return Offer{
+		Organisation: rate.Organisation,
+		Zone:         r.zone,
+		PerSecond:    offered,
+	}, true
+}
+
+// Borrow takes an offer in.
+func (r *Rates) Borrow(now time.Duration, rate document.Rate, o Offer, zones Zones) {
+	b := r.bucket(now, rate, zones)
+	r.fill(b, now, rate, zones)
+	b.borrowed[o.Zone] = loan{
+		perSecond: o.PerSecond,
+		until:     now + loanTerm,
+	}
+}
--- a/pkg/meter/rates_test.go
+++ b/pkg/meter/rates_test.go
@@ -60,20 +60,23 @@
 	return v
 }
 
-// exchange passes all demands between the zones.
+// exchange lets all zones tell what they want.
 func (f *fleet) exchange(now time.Duration) {
 	for zone := range f.zones {
 		f.tell(now, zone)
 	}
 }
 
-// tell passes one zone's demands to the others.
+// tell passes one zone's wants to the others, and their offers back.
 func (f *fleet) tell(now time.Duration, zone int) {
 	rateOf := func(string) (document.Rate, bool) { return f.rate, true }
-	for _, d := range f.zones[zone].Demands(now, rateOf, f.spread(zone)) {
+	for _, w := range f.zones[zone].Wants(now, rateOf, f.spread(zone)) {
 		for j, other := range f.zones {
-			if j != zone {
-				other.Hear(now, f.rate, d, f.spread(j))
+			if j == zone {
+				continue
+			}
+			if o, ok := other.Lend(now, f.rate, w, f.spread(j)); ok {
+				f.zones[zone].Borrow(now, f.rate, o, f.spread(zone))
 			}
 		}
 	}
@@ -117,7 +120,7 @@
 					f.ask(now, zone)
 				}
 			}
-			if now%(500*time.Millisecond) == 0 {
+			if now%meter.ReportPeriod == 0 {
 				f.exchange(now)
 			}
 		}
@@ -146,7 +149,7 @@
 					f.given = append(f.given, now)
 				}
 			}
-			if now%(500*time.Millisecond) == 0 {
+			if now%meter.ReportPeriod == 0 {
 				f.exchange(now)
 			}
 		}
@@ -173,7 +176,7 @@
 			if now >= hot {
 				f.ask(now, zone)
 			}
-			if (now+time.Duration(zone)*170*time.Millisecond)%(500*time.Millisecond) == 0 {
+			if (now+time.Duration(zone)*100*time.Millisecond)%meter.ReportPeriod == 0 {
 				f.tell(now, zone)
 			}
 		}
@@ -237,7 +240,7 @@
 						refused++
 					}
 				}
-				if now%(500*time.Millisecond) == 0 {
+				if now%meter.ReportPeriod == 0 {
 					f.exchange(now)
 				}
 			}
