--- a/cmd/dandelionctl/main.go
+++ b/cmd/dandelionctl/main.go
@@ -9,6 +9,7 @@
 //	dandelionctl set -revision 17 Rates rates.json
 //	dandelionctl history
 //	dandelionctl status 10.0.0.1:9000 10.0.0.2:9000
+//	dandelionctl story 9c41d07be2a35f68 instance-*.log
 package main
 
 import (
@@ -85,6 +86,7 @@
 			p.statusCommand(),
 			p.keyCommand(),
 			p.shareCommand(),
+			p.storyCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			return errors.Wrap(errUsage, "no such command; see dandelionctl -help")
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -154,7 +154,7 @@
 	}
 	x.tried = append(x.tried, slot.Target().Name)
 	x.handler.meters.attempts.Inc(1)
-	x.logAttempt(slot.Target().Name, n)
+	x.logAttempt(slot, n)
 	// The answer's body is read after this function, under this context too.
 	ctx, cancel := x.attemptContext(ctx, n, slot.Patience())
 	if wait := slot.Patience(); wait > 0 && x.repeatable && x.sendings+1 < x.maximumSendings() {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -163,7 +163,7 @@
 		// by sending it again.
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, x.deadline)
+	return context.WithDeadline(context.WithValue(parent, requestKey{}, x.id), x.deadline)
 }
 
 // keyed tells whether the request is claimed before it runs.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -6,18 +6,41 @@
 	"time"
 )
 
+// Explained is a slot that tells what decided its choice.
+type Explained interface {
+	// Why are the inputs of the choice, for the log.
+	Why() []slog.Attr
+}
+
+// requestKey is the context's key for the request's id.
+type requestKey struct{}
+
+// RequestID is the id of the request that a context belongs to, for logs; empty
+// if it belongs to none.
+func RequestID(ctx context.Context) string {
+	id, _ := ctx.Value(requestKey{}).(string)
+	return id
+}
+
 // logAttempt logs where an attempt goes.
-func (x *exchange) logAttempt(target string, n int) {
+func (x *exchange) logAttempt(slot Slot, n int) {
 	if !x.handler.decisions {
 		return
 	}
-	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "placed",
+	attributes := []slog.Attr{
 		slog.String("Request", x.id),
 		slog.String("Organisation", x.organisation),
 		slog.String("Route", x.route.Name),
 		slog.String("Service", x.service),
-		slog.String("Target", target),
-		slog.Int("Attempt", n))
+		slog.String("Target", slot.Target().Name),
+		slog.Int("Attempt", n),
+		slog.Uint64("Revision", x.snapshot.Index.Revision()),
+		slog.Duration("Left", time.Until(x.deadline)),
+	}
+	if e, ok := slot.(Explained); ok {
+		attributes = append(attributes, e.Why()...)
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "placed", attributes...)
 }
 
 // log logs how a request ended. It never sees a key or a path.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -19,6 +19,7 @@
 	}
 	a.gateway.count("Rate.Refused")
 	a.gateway.logger.Info("over the rate",
+		slog.String("Request", entry.RequestID(ctx)),
 		slog.String("Organisation", organisation),
 		slog.Duration("RetryAfter", v.RetryAfter))
 	return nil, &entry.Refusal{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -74,7 +74,7 @@
 type dispatch struct{ gateway *Gateway }
 
 // Acquire implements entry.Dispatch.
-func (d dispatch) Acquire(_ context.Context, want entry.Want) (entry.Slot, error) {
+func (d dispatch) Acquire(ctx context.Context, want entry.Want) (entry.Slot, error) {
 	g := d.gateway
 	b := g.belief
 	b.mu.Lock()
@@ -90,6 +90,9 @@
 		})
 	}
 	if !ok {
+		g.logger.Warn("service without targets",
+			slog.String("Request", entry.RequestID(ctx)),
+			slog.String("Service", want.Service))
 		return nil, &entry.Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "no-target",
@@ -106,6 +109,7 @@
 		route:    want.Route.Name,
 		target:   chosen,
 		patience: patience,
+		counts:   s.table.Counts(now),
 	}
 	p.timer = time.AfterFunc(patience, p.suspect)
 	return p, nil
@@ -135,9 +139,11 @@
 	})
 	granted := g.ask(ctx, budget, name, begun).Granted
 	g.logger.Info("retry asked for",
+		slog.String("Request", entry.RequestID(ctx)),
 		slog.String("Service", name),
 		slog.String("Outcome", failed.Outcome.String()),
 		slog.Int("Attempt", failed.Number),
+		slog.Int("Begun", begun),
 		slog.Bool("Granted", granted))
 	if !granted {
 		g.count("Retry.Unpaid")
@@ -153,6 +159,19 @@
 	target   document.Target
 	patience time.Duration
 	timer    *time.Timer
+	// counts is how the service's targets stood at the choice.
+	counts outlier.Counts
+}
+
+// Why implements entry.Explained.
+func (p *place) Why() []slog.Attr {
+	return []slog.Attr{
+		slog.String("Zone", p.target.Zone),
+		slog.Int("Sound", p.counts.Sound),
+		slog.Int("Doubtful", p.counts.Doubtful),
+		slog.Int("Out", p.counts.Out),
+		slog.Duration("Patience", p.patience),
+	}
 }
 
 // Target implements entry.Slot.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"dandelionmux/internal/standin"
+	"dandelionmux/internal/story"
 )
 
 func TestChangeIsInForceOnAllInstances(t *testing.T) {
@@ -157,3 +159,32 @@
 		is.True(strings.Contains(content, name))
 	}
 }
+
+// From the id of a failed request alone, the logs of all instances tell its cause.
+func TestStoryOfAFailedRequest(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 1)
+	w.targets[0].SetFaults(standin.TargetFaults{Death: standin.DeathDuring})
+	is.Equal(w.call(w.members[0], "/one/1", "key-1"), http.StatusBadGateway)
+	w.configure(configuration{
+		Revision: 2,
+		Path:     "/one",
+	})
+	w.await(func() bool { return w.call(w.members[1], "/one/1", "key-1") == http.StatusUnauthorized })
+	lines, err := story.Read(strings.NewReader(w.log.String()))
+	is.NoErr(err)
+	reasons := map[string][]string{}
+	for _, l := range lines {
+		if l.Message != "refused" {
+			continue
+		}
+		for _, told := range story.Of(l.Fields["Request"], lines) {
+			reasons[l.Fields["Reason"]] = append(reasons[l.Fields["Reason"]], told.Message)
+		}
+	}
+	for _, message := range []string{"placed", "target seen", "strike", "retry asked for", "refused"} {
+		is.True(slices.Contains(reasons["target-connection-died"], message))
+	}
+	is.True(slices.Contains(reasons["unknown-key"], "refused"))
+	is.True(strings.Contains(w.log.String(), "msg=\"configuration in force\" Revision=2"))
+}
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -21,7 +21,7 @@
 type strikes struct{ gateway *Gateway }
 
 // Enter implements entry.Strikes.
-func (s strikes) Enter(_ context.Context, identity entry.Identity) (entry.Permit, error) {
+func (s strikes) Enter(ctx context.Context, identity entry.Identity) (entry.Permit, error) {
 	outline := quarantine.OutlineOf(identity.Organisation, identity.Route, identity.Method, identity.Path)
 	f := quarantine.FingerprintOf(outline, sha256.Sum256(identity.Body))
 	out := false
@@ -30,6 +30,9 @@
 	})
 	if out {
 		s.gateway.count("Quarantine.Refused")
+		s.gateway.logger.Warn("quarantined",
+			slog.String("Request", entry.RequestID(ctx)),
+			slog.String("Fingerprint", f.String()))
 		return nil, &entry.Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "quarantined",
@@ -39,6 +42,7 @@
 	return &permit{
 		gateway:     s.gateway,
 		fingerprint: f,
+		request:     entry.RequestID(ctx),
 	}, nil
 }
 
@@ -46,6 +50,8 @@
 type permit struct {
 	gateway     *Gateway
 	fingerprint quarantine.Fingerprint
+	// request is the request's id, for the log.
+	request string
 }
 
 // Until implements entry.Permit; only the request's deadline counts.
@@ -62,6 +68,7 @@
 	}
 	g.belief.look(func() { g.belief.tally.Strike(boot.Now(), p.fingerprint, r.Crashed) })
 	g.logger.Info("strike",
+		slog.String("Request", p.request),
 		slog.String("Fingerprint", p.fingerprint.String()),
 		slog.String("Target", r.Crashed))
 	// The same caller's requests come to the same zone, so the others needn't know.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net/http"
 	"slices"
@@ -185,6 +186,26 @@
 	doors   []*door
 	members []*gateway.Gateway
 	targets []*standin.TargetServer
+	log     *buffer
+}
+
+// buffer is a log in memory.
+type buffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *buffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // configuration is the test's own form of what operators write.
@@ -205,6 +226,7 @@
 	w := &world{
 		t:      t,
 		memory: newMemory(),
+		log:    &buffer{},
 	}
 	for i := range targets {
 		name := "desk-" + string(rune('a'+i))
@@ -262,7 +284,7 @@
 		TargetPrefix:     targetPrefix,
 		Configuration:    parse,
 		Target:           parseTarget,
-	})
+	}, gateway.WithLogger(slog.New(slog.NewTextHandler(w.log, nil))))
 	is.New(w.t).NoErr(err)
 	w.t.Cleanup(g.Close)
 	w.doors = append(w.doors, d)
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -300,6 +300,32 @@
 	s.doubtUntil = now + ejection + probation
 }
 
+// Counts are how many of a service's targets are in which state.
+type Counts struct {
+	Sound    int
+	Doubtful int
+	Out      int
+	Leaving  int
+}
+
+// Counts tells how the targets stand, for logs and metrics.
+func (t *Table) Counts(now time.Duration) Counts {
+	var c Counts
+	for _, s := range t.order {
+		switch {
+		case s.Leaving:
+			c.Leaving++
+		case now < s.outUntil || now < s.shedUntil:
+			c.Out++
+		case now < s.doubtUntil:
+			c.Doubtful++
+		default:
+			c.Sound++
+		}
+	}
+	return c
+}
+
 // Ejected reports whether a target is out, for logs and metrics.
 func (t *Table) Ejected(now time.Duration, name string) bool {
 	s := t.targets[name]
