--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 
 	tasks  *errgroup.Group
 	cancel context.CancelFunc
+	// deregister ends the instance's registration.
+	deregister context.CancelFunc
 }
 
 // Option changes a Gateway under construction.
@@ -192,7 +194,9 @@
 	g.entry = g.servers[0]
 	g.task(g.receive)
 	g.task(func() { g.follow(ctx) })
-	g.task(func() { g.keepMembership(ctx) })
+	membership, deregister := context.WithCancel(ctx)
+	g.deregister = deregister
+	g.task(func() { g.keepMembership(membership) })
 	g.task(func() { g.tick(ctx) })
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -119,6 +119,10 @@
 	w.await(func() bool { return !w.ready(g) })
 	is.Equal(<-status, http.StatusOK)
 	is.NoErr(<-stopped)
+	// It deregisters first, so that nobody asks it for what ends with it.
+	w.await(func() bool { return strings.Contains(w.log.String(), "msg=\"member gone\"") })
+	log := w.log.String()
+	is.True(strings.Index(log, "msg=\"member gone\"") < strings.Index(log, "msg=stopped"))
 	is.Equal(w.call(w.members[1], "/one/1", "key-1"), http.StatusOK)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,7 +19,7 @@
 	// connections: the balancer asks once a second and wants two misses.
 	rotationLag = 2300 * time.Millisecond
 	// stopReserve is left of Settings.StopTimeout for the exit itself.
-	stopReserve = 250 * time.Millisecond
+	stopReserve = 300 * time.Millisecond
 )
 
 // serveReady tells the balancer whether the instance takes new connections.
@@ -54,11 +54,14 @@
 	return at, ok
 }
 
-// Stop ends the instance gracefully: it turns unready, serves on while new
+// Stop ends the instance gracefully: it turns unready, deregisters, serves on while new
 // connections may still come, and lets requests in progress finish.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.leaving.Store(true)
 	g.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	// The others stop asking this instance, and the call is over long before the
+	// time for the stop is.
+	g.deregister()
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-stopReserve)
 	defer cancel()
 	pause(ctx, rotationLag)
