--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -28,23 +28,24 @@
 // Roster is the fleet as one instance knows it. It is never changed.
 type Roster struct {
 	self instance.Info
-	// zones holds the members of each zone in the order of their addresses, self
-	// included.
+	// zones holds the members of each zone in the order of their addresses.
 	zones map[string][]instance.Info
 	size  int
 }
 
-// New returns the roster of the members, with self in any case.
+// New returns the roster of the members. Self is one only if it is among them: to
+// the others an instance that isn't registered is none, and they go by another
+// for what it would take on. Without any member in its zone it does all itself.
 func New(self instance.Info, members []instance.Info) *Roster {
 	r := &Roster{
 		self:  self,
 		zones: map[string][]instance.Info{},
 	}
-	r.add(self)
 	for _, m := range members {
-		if m.Address != self.Address {
-			r.add(m)
-		}
+		r.add(m)
+	}
+	if len(r.zones[self.Zone]) == 0 {
+		r.add(self)
 	}
 	for _, list := range r.zones {
 		slices.SortFunc(list, func(a, b instance.Info) int {
@@ -62,7 +63,7 @@
 // Len is the number of members.
 func (r *Roster) Len() int { return r.size }
 
-// Own returns the members of the instance's zone, self included.
+// Own returns the members of the instance's zone.
 func (r *Roster) Own() []instance.Info { return r.zones[r.self.Zone] }
 
 // Zones is how the instances are spread, given the number of zones that there
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// An instance that the store has turned away is no member any more for the others:
+// it must not keep for itself what another keeps for all.
+func TestUnregisteredInstanceKeepsNothing(t *testing.T) {
+	is := is.New(t)
+	all := members(39)
+	for i := range 100 {
+		name := fmt.Sprint(i)
+		keeper := roster.New(all[3], all[3:]).Keeper("rate", name, nobody)
+		is.Equal(roster.New(all[0], all[3:]).Keeper("rate", name, nobody), keeper)
+	}
+	is.Equal(roster.New(all[0], all[3:]).Len(), 36)
+}
+
 func TestInstanceThatKnowsNobodyDoesAllItself(t *testing.T) {
 	is := is.New(t)
 	self := members(1)[0]
