Let a zone's targets take half as much again before work goes to other zones

Cause: with one of three targets of a zone out, a third of the zone's requests went to other zones, though targets are under half busy; bytes between zones were the largest price on mehta after machines. The test's bound follows the rule: half of a zone's targets get three quarters, not half.

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -26,6 +26,10 @@
 	// even if some of them are on probation: with fewer the others would be
 	// overrun at twice the usual load.
 	soundPercent = 40
+	// nearFactor times its usual work is what a target takes on for others of its
+	// zone that are out, before work goes to other zones: targets are about half
+	// busy, and bytes between zones cost.
+	nearFactor = 1.5
 	// leastPercent of the targets are in use even if they have just failed: when
 	// so many fail they may be overrun, and fewer would only make it worse.
 	leastPercent = 20
@@ -172,8 +176,8 @@
 	return append(list, more[:min(number-len(list), len(more))]...)
 }
 
-// near keeps to the instance's own zone in proportion to how many of the zone's
-// targets are candidates, so that a zone with few of them isn't overrun.
+// near keeps to the instance's own zone as far as the zone's candidates can take
+// the work, so that a zone with few of them isn't overrun.
 func (t *Table) near(candidates []*state) []*state {
 	var own, far []*state
 	for _, s := range candidates {
@@ -192,7 +196,7 @@
 			all++
 		}
 	}
-	if t.random.Float64()*float64(all) < float64(len(own)) {
+	if t.random.Float64()*float64(all) < nearFactor*float64(len(own)) {
 		return own
 	}
 	return far
