--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -31,7 +31,7 @@
 }
 
 // Admit implements entry.Admission.
-func (a Admission) Admit(ctx context.Context, organisation, _ string, cost int) (entry.Grant, error) {
+func (a Admission) Admit(ctx context.Context, organisation string, cost int) (entry.Grant, error) {
 	c := a.loop
 	token, verdict := c.allowance.Take(c.clock(), organisation, cost)
 	switch verdict {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -223,7 +223,7 @@
 	if x.route.Open {
 		return nil
 	}
-	grant, err := x.handler.ports.Admission.Admit(ctx, x.organisation, x.service, x.route.Units())
+	grant, err := x.handler.ports.Admission.Admit(ctx, x.organisation, x.route.Units())
 	if err != nil {
 		return err
 	}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -49,7 +49,7 @@
 // Admission decides whether a request is within its organisation's rate.
 type Admission interface {
 	// Admit returns a grant, or a *Refusal as error.
-	Admit(ctx context.Context, organisation, service string, cost int) (Grant, error)
+	Admit(ctx context.Context, organisation string, cost int) (Grant, error)
 }
 
 // ClaimKey names a request that callers may send again under the same
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -296,7 +296,7 @@
 	returned atomic.Int64
 }
 
-func (f *fakeAdmission) Admit(context.Context, string, string, int) (entry.Grant, error) {
+func (f *fakeAdmission) Admit(context.Context, string, int) (entry.Grant, error) {
 	f.admitted.Add(1)
 	return f, nil
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -12,7 +12,7 @@
 type admission struct{ gateway *Gateway }
 
 // Admit implements entry.Admission.
-func (a admission) Admit(ctx context.Context, organisation, _ string, cost int) (entry.Grant, error) {
+func (a admission) Admit(ctx context.Context, organisation string, cost int) (entry.Grant, error) {
 	v := a.gateway.ask(ctx, rate, organisation, cost)
 	if v.Granted {
 		return unit{}, nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -36,8 +36,6 @@
 	// Trust is how long a configuration may be acted on after the last proof
 	// that it is the newest.
 	Trust time.Duration
-	// ReuseAfter is how soon a gone target's address may be another's.
-	ReuseAfter time.Duration
 	// RetryRatio and RetryMinimum bound repeated sendings to a service in
 	// RetryWindow, over the whole fleet.
 	RetryRatio   float64
@@ -45,8 +43,6 @@
 	RetryWindow  time.Duration
 	// RateTolerance is what the fleet may give out beyond a rate.
 	RateTolerance meter.Tolerance
-	// Floor is the part of a service's sound targets that must get work, 0 to 1.
-	Floor float64
 }
 
 // Check returns what is wrong with the settings, or nil.
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -33,7 +33,7 @@
 	// deafPatience is how long a watch may lag behind a proof.
 	deafPatience = 400 * time.Millisecond
 	// staleReader is the age of a reader's proof from which on another is
-	// sought. It is more than two periods and a slow answer.
+	// sought. It is more than a period and a slow answer.
 	staleReader = 1100 * time.Millisecond
 	// catchUpTimeout bounds the calls with which an instance that has lost its
 	// reader looks at the store itself.
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -105,17 +105,6 @@
 	})
 }
 
-// Len is the number of targets that take new work, sound or not.
-func (t *Table) Len() int {
-	n := 0
-	for _, s := range t.order {
-		if !s.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // Choose picks a target and counts the request there until Done. It reports
 // false if there is none.
 func (t *Table) Choose(now time.Duration, r Request) (document.Target, bool) {
