--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -27,9 +27,10 @@
 	listTimeout = 4 * time.Second
 	// watchTimeout bounds one watch. A silent connection is found by a proof.
 	watchTimeout = 10 * time.Second
-	// watchPause lets changes gather before the next watch, so that a hundred
-	// members that start together don't cost a call each.
-	watchPause = 40 * time.Millisecond
+	// watchPause lets changes gather before the next watch, so that hundreds of
+	// members and targets that change together don't cost a call each. It is a
+	// small part of the two seconds in which a change must be in force.
+	watchPause = 150 * time.Millisecond
 	// deafPatience is how long a watch may lag behind a proof.
 	deafPatience = 400 * time.Millisecond
 	// staleReader is the age of a reader's proof from which on another is
