Look at the store only when one's own proof isn't fresh

Cause: on rewa grown each start led to 800 changes of reader, and each that found an instance that wasn't reading cost a read of the store though the own proof was milliseconds old; and an instance that had just given up reading went on watching until its next proof.

--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -160,9 +160,10 @@
 	}
 }
 
-// watchStore takes changes in until it fails for good.
+// watchStore takes changes in until another instance is to read, which a change
+// of the members may tell.
 func (g *Gateway) watchStore(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && g.source() == g.self.Address {
 		if err := g.watchOnce(ctx); err != nil {
 			if errors.Is(err, errRelist) {
 				err = g.listStore(ctx)
@@ -290,9 +291,11 @@
 }
 
 // catchUp looks at the store once without a reader, so that no change waits
-// until the next reader is found.
+// until the next reader is found. There is no need as long as the instance knows
+// as much as a reader would.
 func (g *Gateway) catchUp(ctx context.Context) {
-	if g.backoff.left(boot.Now()) > 0 {
+	now := boot.Now()
+	if at, ok := g.provedAt(); g.backoff.left(now) > 0 || ok && now-at < proofPeriod {
 		return
 	}
 	if err := g.proveOnce(ctx, catchUpTimeout); err != nil {
