Refuse retryably while a coordinator has no limits yet

Now NoRights, so the holder asks on; a leaver's offer isn't taken up without limits, since its buckets could not be kept. The test fails without the change. Ruled out: the holder's document (its admission had the rate).

--- a/pkg/quota/ask.go
+++ b/pkg/quota/ask.go
@@ -84,6 +84,10 @@
 
 // item grants an item, lets it wait or refuses it.
 func (c *Coordinator) item(now time.Duration, holder instance.ID, answer route, item Item) {
+	if c.limits == nil {
+		c.refuse(answer, item, NoRights, 0)
+		return
+	}
 	limit, ok := c.limits.Limit(item.Organisation)
 	p := c.portion(ShardOf(item.Organisation))
 	switch {
--- a/pkg/quota/coordinator.go
+++ b/pkg/quota/coordinator.go
@@ -19,7 +19,8 @@
 // has borrowed. It is used by one goroutine.
 type Coordinator struct {
 	options
-	self    instance.ID
+	self instance.ID
+	// limits is nil until the first LimitsChanged.
 	limits  Limits
 	tracker *rights.Tracker
 	buckets map[string]*bucket
@@ -37,13 +38,13 @@
 }
 
 // NewCoordinator makes the coordinator of one run of an instance. It holds
-// nothing and has no limits.
+// nothing, and has no limits before the first LimitsChanged: until then it
+// refuses with NoRights, so that the asker turns to others or asks again.
 func NewCoordinator(self instance.ID, opts ...Option) *Coordinator {
 	o := newOptions(opts)
 	return &Coordinator{
 		options: o,
 		self:    self,
-		limits:  LimitMap{},
 		tracker: rights.New(o.total),
 		buckets: map[string]*bucket{},
 		byShard: map[share.Shard][]*bucket{},
--- a/pkg/quota/handover.go
+++ b/pkg/quota/handover.go
@@ -227,9 +227,10 @@
 	}
 }
 
-// offered asks a leaving coordinator for its buckets.
+// offered asks a leaving coordinator for its buckets. Without limits they could
+// not be taken in.
 func (c *Coordinator) offered(now time.Duration, from instance.ID, m Leaving) {
-	if c.leaving.active {
+	if c.leaving.active || c.limits == nil {
 		return
 	}
 	c.heirs.number++
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -10,6 +10,7 @@
 
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/quota"
+	"dandelionmux/pkg/share"
 )
 
 // kinds are organisations of different sizes, with how many there are of each.
@@ -311,3 +312,60 @@
 	f.run(32 * time.Second)
 	is.Equal(f.meters["busy"].admitted, 0) // no limit, no requests
 }
+
+// A rolling replacement: an instance that has just started may hold a shard
+// before it has the document. It must not say that an organisation has no limit.
+func TestFreshCoordinatorWithoutLimits(t *testing.T) {
+	is := is.New(t)
+	holder := instance.ID{
+		Address:     "10.0.0.2:7000",
+		Incarnation: 1,
+	}
+	c := quota.NewCoordinator(instance.ID{
+		Address:     "10.0.0.1:7000",
+		Incarnation: 1,
+	})
+	for n := range share.Number(share.DefaultTotal) {
+		c.Handle(0, quota.BorrowedChanged{
+			Borrowed: share.Borrowed{
+				Share:  n,
+				Until:  time.Hour,
+				Shards: share.SetOf(quota.ShardOf("press")),
+			},
+		})
+	}
+	ask := func(number uint64) quota.Answer {
+		effects := c.Handle(time.Minute, quota.Received{
+			From: holder,
+			Message: quota.Ask{
+				Items: []quota.Item{{
+					Number:       number,
+					Organisation: "press",
+					Need:         1,
+				}},
+			},
+		})
+		is.Equal(len(effects), 1)
+		return effects[0].(quota.Send).Message.(quota.Answer)
+	}
+	early := ask(1)
+	is.Equal(len(early.Refusals), 1)
+	is.Equal(early.Refusals[0].Reason, quota.NoRights) // the holder asks again
+	// What a leaving coordinator offers could not be taken in.
+	offered := c.Handle(time.Minute, quota.Received{
+		From: holder,
+		Message: quota.Leaving{
+			Shards: []share.Shard{quota.ShardOf("press")},
+		},
+	})
+	is.Equal(len(offered), 0)
+	c.Handle(time.Minute, quota.LimitsChanged{
+		Limits: quota.LimitMap{
+			"press": {
+				PerSecond: 1,
+				Burst:     2,
+			},
+		},
+	})
+	is.Equal(len(ask(2).Grants), 1)
+}
