Keep a rate in one place for the fleet, and give a span's units out evenly

Now one instance keeps an organisation's bucket for the fleet and borrows all zones' parts; a stand-in in each zone, asks passed on once, loans counted from the want and returned when the keeper moves. The bucket holds the burst and is filled with a fifth of the span's units, under a window of the span; what a second fresh keeper would give out is kept back.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// ask asks the zone's keeper, or decides alone if none can be reached.
+// ask asks the keeper, or decides alone if none can be reached.
 func (g *Gateway) ask(ctx context.Context, k kind, name string, amount int) meter.Verdict {
 	for range askKeepers {
 		keeper := g.keeper(k, name)
@@ -81,21 +81,33 @@
 	return g.decideAlone(k, name, amount)
 }
 
+// keeper is whom to ask. A rate has one keeper for the whole fleet, since a rate
+// in parts refuses requests while another part is idle; the zone's keeper stands
+// in while that one is silent. A budget has one for each zone.
 func (g *Gateway) keeper(k kind, name string) instance.Address {
+	b := g.belief
 	var keeper instance.Address
-	g.belief.look(func() { keeper = g.belief.roster.Keeper(k.String(), name, g.belief.quiet) })
+	b.look(func() {
+		if k == rate {
+			keeper = b.roster.FleetKeeper(k.String(), name)
+		}
+		if keeper == "" || b.quiet(keeper) {
+			keeper = b.roster.Keeper(k.String(), name, b.quiet)
+		}
+	})
 	return keeper
 }
 
 func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, k kind, name string, amount int) (meter.Verdict, bool) {
 	number, answers := g.asks.add()
 	defer g.asks.forget(number)
-	for _, wait := range askWaits {
+	for try, wait := range askWaits {
 		g.send(keeper, ask{
 			Number: number,
 			Kind:   k,
 			Name:   name,
 			Amount: amount,
+			Pass:   try == 0 && k == rate,
 		})
 		timer := time.NewTimer(wait)
 		select {
@@ -111,8 +123,50 @@
 	return meter.Verdict{}, false
 }
 
+// hearAsk answers an ask, or passes it on once: the asker's members may be older
+// than this instance's, or only the asker can't reach the keeper.
+func (g *Gateway) hearAsk(from instance.Address, m ask) {
+	if m.Pass {
+		if keeper := g.keeper(m.Kind, m.Name); keeper != g.self.Address && keeper != from {
+			m.Pass = false
+			m.Origin = from
+			g.send(keeper, m)
+			return
+		}
+	}
+	if m.Origin != "" {
+		from = m.Origin
+	}
+	g.send(from, verdict{
+		Number:  m.Number,
+		Verdict: g.decide(m),
+	})
+}
+
+// role is what this instance is for an organisation's rate. The lock is held.
+func (b *belief) role(organisation string) meter.Role {
+	self := b.gateway.self.Address
+	keeper := b.roster.FleetKeeper(rate.String(), organisation)
+	switch {
+	case keeper == self:
+		return meter.Keeper
+	case b.quiet(keeper) && b.roster.Keeper(rate.String(), organisation, b.quiet) == self:
+		return meter.StandIn
+	default:
+		return meter.Other
+	}
+}
+
 // decide is the keeper's decision.
 func (g *Gateway) decide(a ask) meter.Verdict {
+	v := g.decideLocked(a)
+	if v.Short {
+		g.tellWants()
+	}
+	return v
+}
+
+func (g *Gateway) decideLocked(a ask) meter.Verdict {
 	b := g.belief
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,13 +183,13 @@
 			Granted: true,
 		}
 	}
-	v := b.rates.Ask(now, r, a.Amount, zones)
+	v := b.rates.Ask(now, r, a.Amount, b.role(a.Name), zones)
 	if !v.Granted {
 		g.logger.Info("rate used up",
 			slog.String("Organisation", a.Name),
 			slog.Float64("PerSecond", r.PerSecond),
 			slog.Int("Burst", r.Burst),
-			slog.Float64("ZonePerSecond", v.PerSecond),
+			slog.Float64("KeptPerSecond", v.PerSecond),
 			slog.Float64("Level", v.Level),
 			slog.Uint64("Revision", b.index.Revision()))
 	}
@@ -161,7 +215,7 @@
 			Granted: true,
 		}
 	}
-	return b.own.Ask(boot.Now(), r, amount, meter.Zones{
+	return b.own.Ask(boot.Now(), r, amount, meter.StandIn, meter.Zones{
 		Part:  1 / float64(b.roster.Len()),
 		Count: 1,
 	})
@@ -175,15 +229,13 @@
 	return b.index.Rate(organisation)
 }
 
-// tellWants tells the keepers in other zones which organisations are busy here.
+// tellWants tells the keepers in other zones what this instance lacks of the rates
+// that it keeps, and what it returns.
 func (g *Gateway) tellWants() {
 	b := g.belief
 	to := map[instance.Address][]meter.Want{}
 	b.look(func() {
-		for _, w := range b.rates.Wants(boot.Now(), b.rateOf, b.roster.Zones(g.settings.Zones)) {
-			if b.roster.Keeper(rate.String(), w.Organisation, b.quiet) != g.self.Address {
-				continue
-			}
+		for _, w := range b.rates.Wants(boot.Now(), b.rateOf, b.role, b.roster.Zones(g.settings.Zones)) {
 			for _, envoy := range b.roster.Envoys(rate.String(), w.Organisation, b.quiet) {
 				to[envoy] = append(to[envoy], w)
 			}
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -101,6 +101,14 @@
 
 // update changes the mirror and what follows from it.
 func (b *belief) update(change func(m *mirror.Mirror) []store.Entry) {
+	if b.updateMembers(change) {
+		// What another instance keeps from now on is returned to it.
+		b.gateway.tellWants()
+	}
+}
+
+// updateMembers tells whether members came or went.
+func (b *belief) updateMembers(change func(m *mirror.Mirror) []store.Entry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := boot.Now()
@@ -135,6 +143,7 @@
 		close(b.changed)
 		b.changed = make(chan struct{})
 	}
+	return members
 }
 
 // configure puts a newer configuration in force.
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -26,6 +26,10 @@
 	Name string
 	// Amount is the cost in units, or the requests begun since the last ask.
 	Amount int
+	// Pass asks the receiver to pass the ask on if it knows another keeper.
+	Pass bool
+	// Origin is who asked, if another instance passes the ask on.
+	Origin instance.Address
 }
 
 // verdict answers an ask.
@@ -106,8 +110,8 @@
 	fieldPart
 )
 
-// perThousand keeps three decimals of a rate in an integer.
-const perThousand = 1000
+// perMillion keeps six decimals of a part in an integer.
+const perMillion = 1e6
 
 // encode returns the wire form of a message.
 func encode(m message) []byte {
@@ -117,7 +121,12 @@
 		b = number(b, fieldNumber, m.Number)
 		b = number(b, fieldKind, uint64(m.Kind))
 		b = text(b, fieldName, m.Name)
-		return number(b, fieldAmount, uint64(m.Amount))
+		b = number(b, fieldAmount, uint64(m.Amount))
+		b = number(b, fieldPass, protowire.EncodeBool(m.Pass))
+		if m.Origin != "" {
+			b = text(b, fieldService, string(m.Origin))
+		}
+		return b
 	case verdict:
 		b := number(nil, fieldType, verdictType)
 		b = number(b, fieldNumber, m.Number)
@@ -135,14 +144,19 @@
 	case wants:
 		b := number(nil, fieldType, wantsType)
 		for _, w := range m.List {
-			b = part(b, w.Organisation, w.Zone, w.PerSecond)
+			b = part(b, w)
 		}
 		b = text(b, fieldService, string(m.Borrower))
 		return number(b, fieldPass, protowire.EncodeBool(m.Pass))
 	case offers:
 		b := number(nil, fieldType, offersType)
 		for _, o := range m.List {
-			b = part(b, o.Organisation, o.Zone, o.PerSecond)
+			b = part(b, meter.Want{
+				Organisation: o.Organisation,
+				Zone:         o.Zone,
+				Part:         o.Part,
+				Sent:         o.Sent,
+			})
 		}
 		return b
 	}
@@ -150,10 +164,12 @@
 }
 
 // part appends a part of an organisation's rate.
-func part(b []byte, organisation, zone string, perSecond float64) []byte {
-	one := text(nil, fieldName, organisation)
-	one = text(one, fieldService, zone)
-	one = number(one, fieldAmount, uint64(math.Round(perSecond*perThousand)))
+func part(b []byte, w meter.Want) []byte {
+	one := text(nil, fieldName, w.Organisation)
+	one = text(one, fieldService, w.Zone)
+	one = number(one, fieldAmount, uint64(math.Round(w.Part*perMillion)))
+	one = number(one, fieldPass, protowire.EncodeBool(w.Keeper))
+	one = number(one, fieldNumber, uint64(w.Sent))
 	return text(b, fieldPart, string(one))
 }
 
@@ -199,7 +215,9 @@
 	f.parts = append(f.parts, meter.Want{
 		Organisation: p.texts[fieldName],
 		Zone:         p.texts[fieldService],
-		PerSecond:    float64(p.numbers[fieldAmount]) / perThousand,
+		Part:         float64(p.numbers[fieldAmount]) / perMillion,
+		Keeper:       protowire.DecodeBool(p.numbers[fieldPass]),
+		Sent:         time.Duration(min(p.numbers[fieldNumber], math.MaxInt64)),
 	})
 	return nil
 }
@@ -217,6 +235,8 @@
 			Kind:   kind(f.numbers[fieldKind]),
 			Name:   f.texts[fieldName],
 			Amount: int(min(f.numbers[fieldAmount], math.MaxInt32)),
+			Pass:   protowire.DecodeBool(f.numbers[fieldPass]),
+			Origin: instance.Address(f.texts[fieldService]),
 		}, nil
 	case verdictType:
 		return verdict{
@@ -244,7 +264,12 @@
 	case offersType:
 		m := offers{}
 		for _, p := range f.parts {
-			m.List = append(m.List, meter.Offer(p))
+			m.List = append(m.List, meter.Offer{
+				Organisation: p.Organisation,
+				Zone:         p.Zone,
+				Part:         p.Part,
+				Sent:         p.Sent,
+			})
 		}
 		return m, nil
 	}
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -69,10 +69,7 @@
 func (g *Gateway) handle(from instance.Address, m message) {
 	switch m := m.(type) {
 	case ask:
-		g.send(from, verdict{
-			Number:  m.Number,
-			Verdict: g.decide(m),
-		})
+		g.hearAsk(from, m)
 	case verdict:
 		g.asks.answer(m)
 	case failure:
--- a/pkg/meter/doc.go
+++ b/pkg/meter/doc.go
@@ -1,14 +1,17 @@
 // Package meter keeps the limits that count over the whole fleet, a zone at a
 // time: the organisations' rates and the services' retry budgets.
 //
-// In each zone one instance keeps the bucket of an organisation, and another
-// the retry budget of a service; which one follows from the members. Others ask
-// it for each request, inside the zone, where messages are cheap. A zone's part
-// of a rate is its part of the instances. A zone that comes near the end of its
-// part asks the others, and they lend it what they don't need, for a second at a
-// time. The lender does without a loan from when it offers it, and for longer
-// than the borrower uses it, so the parts never add up to more than the rate. Calm
-// organisations cost no message between zones.
+// One instance keeps the bucket of an organisation for the whole fleet, and others
+// ask it for each request: a rate in parts refuses requests while another part is
+// idle. One in each zone keeps a service's retry budget. Which one follows from the
+// members.
+//
+// Each zone owns a part of a rate, as large as its part of the instances. The
+// keeper borrows the other zones' parts for a second at a time, from the instances
+// that would be the keepers there, and they do without. So a zone that is cut off
+// has its part again within a second, where a stand-in gives it out, and the parts
+// never add up to more than the rate. Organisations that need no more than a part
+// cost no message between zones.
 //
 // A meter that starts afresh knows nothing of what its predecessor gave out, so
 // a fresh bucket holds only a part of the burst.
@@ -16,8 +19,8 @@
 // # Usage
 //
 //	r := meter.NewRates("a", tolerance)
-//	verdict := r.Ask(now, rate, 1, zones)
-//	for _, w := range r.Wants(now, rateOf, zones) {
+//	verdict := r.Ask(now, rate, 1, meter.Keeper, zones)
+//	for _, w := range r.Wants(now, rateOf, roleOf, zones) {
 //		// Tell the other zones; there: offer, ok := r.Lend(now, rate, w, zones),
 //		// and here again: r.Borrow(now, rate, offer, zones).
 //	}
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,24 +18,31 @@
 	// demandSpan is how long a zone's demand is measured over: long enough to see
 	// a few requests of a small organisation, short enough to follow a burst.
 	demandSpan = 2 * time.Second
-	// loanTerm is how long a zone uses what another lends, from when it hears of
-	// it, and loanSlack how much longer the lender does without it: a datagram
-	// that takes longer than that is counted as lost by all that know of it.
+	// loanTerm is how long a keeper uses what another zone lends, from when it asked
+	// for it. The lender does without it from when it is asked, and for loanSlack
+	// longer, in case its clock is the faster one.
 	loanTerm  = 3 * ReportPeriod
-	loanSlack = time.Second
-	// busyPercent of a zone's part in use makes it ask the other zones.
+	loanSlack = 50 * time.Millisecond
+	// headroomPercent of a keeper's demand is what it wants, and what it keeps
+	// before it lends: enough for a burst until the next ask.
+	headroomPercent = 200
+	// busyPercent of its part, if wanted, makes a keeper ask the other zones.
 	busyPercent = 60
-	// headroomPercent of a zone's demand is what it wants, and what it keeps
-	// before it lends.
-	headroomPercent = 130
 	// keptPercent of its part is never lent, for the first requests there.
-	keptPercent = 20
+	// Requests seldom go there while there is a keeper to lend to.
+	keptPercent         = 20
+	keptOfKeeperPercent = 2
 	// startPercent of its burst is in a fresh bucket: a restarted one doesn't
 	// know what its predecessor gave out.
 	startPercent = 30
-	// spentPercent of the tolerance goes to callers, whose zones can't know each
-	// other's levels. The rest is for two keepers that disagree for a while.
-	spentPercent = 50
+	// startLeast is what fresh buckets in three zones hold at least, in units.
+	startLeast = 3
+	// doubtTime of a whole rate is kept back for keepers that disagree: a zone's
+	// part, a third of all, given out twice until a silent keeper is asked again.
+	doubtTime = 600 * time.Millisecond
+	// spanPercent of the tolerance's span is looked back over: a Window sees up to a
+	// fortieth less, and requests reach their targets a little later or earlier.
+	spanPercent = 103
 	// partMost times its even part is the most of a rate that a zone takes for
 	// its own when it has heard of few instances, as after a start.
 	partMost = 1.3
@@ -53,20 +61,33 @@
 	buckets   map[string]*bucket
 }
 
-// Tolerance is what the fleet may give out beyond an organisation's rate.
+// Tolerance is what the fleet may give out beyond an organisation's rate: in any
+// Span at most the rate's units and the burst, and these times Ratio and Units
+// more.
 type Tolerance struct {
-	// Ratio is a part of the rate and of the burst.
 	Ratio float64
-	// Units are on top of the burst.
 	Units float64
+	// Span is zero where nothing is tolerated.
+	Span time.Duration
 }
 
-func (t Tolerance) perSecond(r document.Rate) float64 {
-	return r.PerSecond * (1 + t.Ratio*spentPercent/100)
+// most is how many units are given out in a span: what the rate and the burst
+// allow, and of what is tolerated all but what a second keeper that starts afresh
+// would give out. Zero where no span is set.
+func (t Tolerance) most(r document.Rate) float64 {
+	span := t.Span.Seconds()
+	allowed := r.PerSecond*span + float64(r.Burst)
+	spent := allowed*(1+t.Ratio) + t.Units - float64(r.Burst)*startPercent/100 - startLeast
+	return max(allowed, spent*span/(t.Span+doubtTime).Seconds())
 }
 
-func (t Tolerance) burst(r document.Rate) float64 {
-	return float64(r.Burst)*(1+t.Ratio*spentPercent/100) + t.Units*spentPercent/100
+// perSecond is how fast a bucket is filled, so that an organisation that stays
+// over its rate gets its span's units evenly.
+func (t Tolerance) perSecond(r document.Rate) float64 {
+	if t.Span == 0 {
+		return r.PerSecond
+	}
+	return t.most(r) / t.Span.Seconds()
 }
 
 // bucket is a zone's part of one organisation's rate.
@@ -74,17 +95,25 @@
 	level  float64
 	filled time.Duration
 	demand *Window
+	// given counts the units given out over the tolerance's span; nil without one.
+	given *Window
 	// due is when the last of those that were told to come back is due.
 	due time.Duration
-	// lent and borrowed are parts of the rate by the other zone.
+	// told is when the other zones were last told what is wanted; zero if they
+	// weren't since this instance became the keeper.
+	told time.Duration
+	// lent and borrowed are parts by the other zone.
 	lent     map[string]loan
 	borrowed map[string]loan
+	// returned is when all that was borrowed was returned: offers that answer
+	// earlier wants are void.
+	returned time.Duration
 }
 
-// loan is a part of a rate, in units a second, until a time.
+// loan is a part of a rate, from 0 to 1, until a time.
 type loan struct {
-	perSecond float64
-	until     time.Duration
+	part  float64
+	until time.Duration
 }
 
 func sum(loans map[string]loan, now time.Duration) float64 {
@@ -94,7 +123,7 @@
 			delete(loans, zone)
 			continue
 		}
-		all += l.perSecond
+		all += l.part
 	}
 	return all
 }
@@ -112,31 +141,54 @@
 	return min(z.Part, partMost/float64(max(z.Count, 1)))
 }
 
+// Role is what an instance is for an organisation's rate.
+type Role int
+
+// Values of Role.
+const (
+	// Other means that another instance keeps the rate.
+	Other Role = iota
+	// StandIn means that the instance keeps its zone's part while the keeper is
+	// silent.
+	StandIn
+	// Keeper means that the instance keeps the rate for the whole fleet.
+	Keeper
+)
+
 // Verdict is the answer to one ask.
 type Verdict struct {
 	Granted bool
 	// RetryAfter is when a unit will be there, if none was granted.
 	RetryAfter time.Duration
-	// PerSecond is the zone's part of the rate that decided, and Level what the
+	// Short says that the zone's part may not be enough and that the other zones
+	// weren't asked lately: the keeper should tell them now what it wants.
+	Short bool
+	// PerSecond is the keeper's part of the rate that decided, and Level what the
 	// bucket held, for logs.
 	PerSecond float64
 	Level     float64
 }
 
-// Want is what a zone lacks of an organisation's rate, in units a second.
+// Want is what part of an organisation's rate a keeper would like to borrow, from
+// 0 to 1. With 0 it returns what it has.
 type Want struct {
 	Organisation string
 	Zone         string
-	PerSecond    float64
+	Part         float64
+	// Keeper says that requests of all zones go to who wants it.
+	Keeper bool
+	// Sent is when, on the clock of who wants it.
+	Sent time.Duration
 }
 
-// Offer is what one zone lends another of an organisation's rate, in units a
-// second. It counts for a short term from its arrival.
+// Offer is what part of an organisation's rate one zone lends another, from 0 to 1.
 type Offer struct {
 	Organisation string
 	// Zone is the lender.
-	Zone      string
-	PerSecond float64
+	Zone string
+	Part float64
+	// Sent is the want's, from when the term counts.
+	Sent time.Duration
 }
 
 // NewRates returns the meter of a zone.
@@ -149,21 +201,24 @@
 }
 
 // Ask takes a request's units from its organisation's rate, if there are any.
-func (r *Rates) Ask(now time.Duration, rate document.Rate, cost int, zones Zones) Verdict {
-	b := r.bucket(now, rate, zones)
+func (r *Rates) Ask(now time.Duration, rate document.Rate, cost int, role Role, zones Zones) Verdict {
+	b := r.bucket(now, rate, role, zones)
 	b.demand.Add(now, float64(cost))
-	perSecond := r.fill(b, now, rate, zones)
-	if b.level >= float64(cost) {
+	v := Verdict{
+		PerSecond: r.fill(b, now, rate, zones),
+		Level:     b.level,
+		Granted:   b.level >= float64(cost) && r.room(b, now, rate, zones) >= float64(cost),
+	}
+	if v.Granted {
 		b.level -= float64(cost)
-		return Verdict{
-			Granted: true,
+		if b.given != nil {
+			b.given.Add(now, float64(cost))
 		}
+	} else {
+		v.RetryAfter = b.queue(now, float64(cost), v.PerSecond)
 	}
-	return Verdict{
-		PerSecond:  perSecond,
-		Level:      b.level,
-		RetryAfter: b.queue(now, float64(cost), perSecond),
-	}
+	v.Short = now >= b.told+ReportPeriod && r.short(b, now, rate, role, zones)
+	return v
 }
 
 // queue gives a refused request a place behind those that were told to come
@@ -179,53 +234,97 @@
 	return max(b.due-now, waitLeast)
 }
 
-func (r *Rates) bucket(now time.Duration, rate document.Rate, zones Zones) *bucket {
+func (r *Rates) bucket(now time.Duration, rate document.Rate, role Role, zones Zones) *bucket {
 	b := r.buckets[rate.Organisation]
 	if b == nil {
+		part := zones.part()
+		if role == Keeper {
+			part = 1
+		}
 		b = &bucket{
-			level:    max(r.tolerance.burst(rate)*zones.part()*startPercent/100, 1),
+			level:    max(float64(rate.Burst)*part*startPercent/100, 1),
 			filled:   now,
 			demand:   NewWindow(demandSpan),
 			lent:     map[string]loan{},
 			borrowed: map[string]loan{},
 		}
+		if r.tolerance.Span > 0 {
+			b.given = NewWindow(r.tolerance.Span * spanPercent / 100)
+		}
 		r.buckets[rate.Organisation] = b
 	}
 	return b
 }
 
-// fill adds what came in since, and returns the zone's part in units a second.
+// room is how many units may still be given out in this span.
+func (r *Rates) room(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
+	if b.given == nil {
+		return math.Inf(1)
+	}
+	return max(r.tolerance.most(rate)*b.part(now, zones), 1) - b.given.Sum(now)
+}
+
+// short tells whether the instance wants more than its zone's part may give. A
+// keeper that takes over wants all at once.
+func (r *Rates) short(b *bucket, now time.Duration, rate document.Rate, role Role, zones Zones) bool {
+	if role == Keeper && b.told == 0 {
+		return true
+	}
+	return r.wanted(b, now, rate)*100 > zones.part()*busyPercent
+}
+
+// part is what the keeper has of the rate now, from 0 to 1.
+func (b *bucket) part(now time.Duration, zones Zones) float64 {
+	return max(zones.part()-sum(b.lent, now)+sum(b.borrowed, now), 0)
+}
+
+// fill adds what came in since, and returns the keeper's part in units a second.
 func (r *Rates) fill(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
-	own := r.tolerance.perSecond(rate) * zones.part()
-	perSecond := max(own-sum(b.lent, now)+sum(b.borrowed, now), 0)
-	burst := max(r.tolerance.burst(rate)*zones.part(), 1)
+	part := b.part(now, zones)
+	perSecond := r.tolerance.perSecond(rate) * part
+	burst := max(float64(rate.Burst)*part, 1)
 	b.level = min(b.level+perSecond*(now-b.filled).Seconds(), burst)
 	b.filled = now
 	return perSecond
 }
 
-// wanted is what the zone would like to have of the rate, in units a second.
-func (b *bucket) wanted(now time.Duration) float64 {
-	return b.demand.Sum(now) / demandSpan.Seconds() * headroomPercent / 100
+// wanted is what the keeper would like to have of the rate, from 0 to 1.
+func (r *Rates) wanted(b *bucket, now time.Duration, rate document.Rate) float64 {
+	demand := b.demand.Sum(now) / demandSpan.Seconds()
+	return min(demand*headroomPercent/100/max(r.tolerance.perSecond(rate), leastPerSecond), 1)
 }
 
-// Wants lists what the zone lacks, for the other zones.
-func (r *Rates) Wants(now time.Duration, rateOf func(string) (document.Rate, bool), zones Zones) []Want {
+// Wants lists what this instance lacks of the rates that it keeps, for the
+// keepers in other zones, and what it returns of those that it doesn't keep any
+// more.
+func (r *Rates) Wants(now time.Duration, rateOf func(string) (document.Rate, bool), roleOf func(string) Role, zones Zones) []Want {
 	var list []Want
 	for name, b := range r.buckets {
 		rate, ok := rateOf(name)
-		if !ok {
-			delete(r.buckets, name)
-			continue
+		role := roleOf(name)
+		want := Want{
+			Organisation: name,
+			Zone:         r.zone,
+			Keeper:       role == Keeper,
+			Sent:         now,
 		}
-		own := r.tolerance.perSecond(rate) * zones.part()
-		wanted := b.wanted(now)
-		if wanted*100 > own*busyPercent*headroomPercent/100 {
-			list = append(list, Want{
-				Organisation: name,
-				Zone:         r.zone,
-				PerSecond:    max(wanted-own, own*(100-busyPercent)/100),
-			})
+		switch {
+		case !ok:
+			delete(r.buckets, name)
+		case role == Other:
+			b.demand = NewWindow(demandSpan)
+			b.told = 0
+			if len(b.borrowed) > 0 {
+				r.fill(b, now, rate, zones)
+				clear(b.borrowed)
+				b.returned = now
+				list = append(list, want)
+			}
+		case r.short(b, now, rate, role, zones):
+			b.told = now
+			// All, since a whole bucket refuses less than a part of one.
+			want.Part = 1 - zones.part()
+			list = append(list, want)
 		}
 	}
 	slices.SortFunc(list, func(a, b Want) int { return cmp.Compare(a.Organisation, b.Organisation) })
@@ -235,37 +334,50 @@
 // Lend answers another zone's want with what this zone doesn't need. The zone
 // does without it from now on, whether the offer arrives or not.
 func (r *Rates) Lend(now time.Duration, rate document.Rate, w Want, zones Zones) (Offer, bool) {
-	b := r.bucket(now, rate, zones)
+	b := r.bucket(now, rate, Other, zones)
 	r.fill(b, now, rate, zones)
-	own := r.tolerance.perSecond(rate) * zones.part()
-	lent := sum(b.lent, now) - b.lent[w.Zone].perSecond
-	spare := own - max(b.wanted(now), own*keptPercent/100) - lent
-	offered := min(spare, w.PerSecond)
+	if w.Part == 0 {
+		delete(b.lent, w.Zone)
+		return Offer{}, false
+	}
+	own := zones.part()
+	lent := sum(b.lent, now) - b.lent[w.Zone].part
+	kept := own * keptPercent / 100
+	if w.Keeper {
+		kept = own * keptOfKeeperPercent / 100
+	}
+	kept = max(kept, r.wanted(b, now, rate))
+	spare := own - kept - lent
+	offered := min(spare, w.Part)
 	held, ok := b.lent[w.Zone]
 	if offered <= 0 {
 		return Offer{}, false
 	}
 	if ok {
 		// The other zone may still use the earlier offer.
-		held.perSecond = max(held.perSecond, offered)
+		held.part = max(held.part, offered)
 	} else {
-		held.perSecond = offered
+		held.part = offered
 	}
 	held.until = now + loanTerm + loanSlack
 	b.lent[w.Zone] = held
 	return Offer{
 		Organisation: rate.Organisation,
 		Zone:         r.zone,
-		PerSecond:    offered,
+		Part:         offered,
+		Sent:         w.Sent,
 	}, true
 }
 
 // Borrow takes an offer in.
 func (r *Rates) Borrow(now time.Duration, rate document.Rate, o Offer, zones Zones) {
-	b := r.bucket(now, rate, zones)
+	b := r.bucket(now, rate, Other, zones)
+	if o.Sent <= b.returned || o.Sent > now {
+		return
+	}
 	r.fill(b, now, rate, zones)
 	b.borrowed[o.Zone] = loan{
-		perSecond: o.PerSecond,
-		until:     now + loanTerm,
+		part:  o.Part,
+		until: o.Sent + loanTerm,
 	}
 }
--- a/pkg/meter/window.go
+++ b/pkg/meter/window.go
@@ -3,7 +3,7 @@
 import "time"
 
 // parts is the number of pieces that a Window moves by.
-const parts = 20
+const parts = 40
 
 // Window counts events over the last span. Make it with NewWindow.
 type Window struct {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster tells which instance does what for its zone: reads the store,
+// Package roster tells which instance does what: reads the store for its zone,
 // keeps an organisation's bucket or a service's budget, passes news on.
 //
 // Nothing is elected. Each instance ranks the members that it knows, and the
@@ -86,6 +86,23 @@
 	return first(key(kind, name), r.Own(), silent)
 }
 
+// FleetKeeper is the member that keeps for the whole fleet what has the kind and
+// name. In its own zone it is also the Keeper.
+func (r *Roster) FleetKeeper(kind, name string) instance.Address {
+	var best instance.Address
+	var bestScore uint64
+	k := key(kind, name)
+	for _, members := range r.zones {
+		for _, m := range members {
+			score := instance.Score(k, m.Address)
+			if best == "" || score > bestScore || score == bestScore && m.Address < best {
+				best, bestScore = m.Address, score
+			}
+		}
+	}
+	return best
+}
+
 // Envoys are the members of the other zones that keep what has the kind and
 // name there, one of each zone.
 func (r *Roster) Envoys(kind, name string, silent func(instance.Address) bool) []instance.Address {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// All instances ask the same one, which keeps for its own zone too: a zone's part
+// is never in two hands.
+func TestAllInstancesAgreeOnTheFleetsKeeper(t *testing.T) {
+	is := is.New(t)
+	all := members(39)
+	zones := map[string]bool{}
+	for i := range 100 {
+		name := fmt.Sprint(i)
+		keeper := roster.New(all[0], all).FleetKeeper("rate", name)
+		for _, m := range all {
+			r := roster.New(m, all)
+			is.Equal(r.FleetKeeper("rate", name), keeper)
+			if m.Address == keeper {
+				is.Equal(r.Keeper("rate", name, nobody), keeper)
+				zones[m.Zone] = true
+			}
+		}
+	}
+	is.Equal(len(zones), 3) // the tasks are spread
+}
+
 func TestSilentKeeperIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	all := members(39)
