Give work to slow and full targets before losing ones

Ruled out: a burst of 429s or the roll of instances at the same time (reasons of the refused requests: 127 times target-connection-died, 14 timeouts).

Test failing first: TestOverrunTargetsAreBetterThanLosingOnes (overload while others reset).

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -59,6 +59,9 @@
 	outUntil   time.Duration
 	doubtUntil time.Duration
 	successes  int
+	// losing says that the target was ejected because it lost requests, not only
+	// for being slow or full.
+	losing bool
 	// shedUntil ends the pause after a shed request.
 	shedUntil time.Duration
 	// failedAt is the time of the last weak sign of a failure; zero if there was
@@ -123,10 +126,11 @@
 }
 
 // candidates are the targets that the request may go to: the sound ones, those
-// on probation as far as it may try them, and where that leaves too few, those
-// whose failures are the oldest, which are the likeliest to be over.
+// on probation as far as it may try them, and where that leaves too few, the slow
+// and full ones, which lose nothing, and then those whose failures are the oldest,
+// which are the likeliest to be over.
 func (t *Table) candidates(now time.Duration, r Request) []*state {
-	var sound, doubtful, out []*state
+	var sound, doubtful, slow, out []*state
 	all := 0
 	for _, s := range t.order {
 		if s.Leaving {
@@ -135,8 +139,10 @@
 		all++
 		switch {
 		case slices.Contains(r.Avoid, s.Name):
-		case now < s.outUntil || now < s.shedUntil:
+		case now < s.outUntil && s.losing:
 			out = append(out, s)
+		case now < s.outUntil || now < s.shedUntil:
+			slow = append(slow, s)
 		case now < s.doubtUntil:
 			doubtful = append(doubtful, s)
 		default:
@@ -148,6 +154,7 @@
 		doubtful = nil
 	}
 	sound = fill(sound, doubtful, share(all, soundPercent))
+	sound = fill(sound, slow, share(all, soundPercent))
 	return fill(sound, out, share(all, leastPercent))
 }
 
@@ -238,7 +245,7 @@
 	case target.Succeeded:
 		s.succeeded(now)
 	case target.Crashed, target.Truncated:
-		s.eject(now)
+		s.eject(now, true)
 	case target.Failed, target.TimedOut:
 		// The other instance's own link may be cut, so a late answer there is as
 		// weak a sign as one server error.
@@ -256,11 +263,14 @@
 	case target.Failed:
 		s.doubt(now)
 		return true
-	case target.Crashed, target.Truncated, target.TimedOut:
-		s.eject(now)
+	case target.Crashed, target.Truncated:
+		s.eject(now, true)
+		return !out
+	case target.TimedOut:
+		s.eject(now, false)
 		return !out
 	case target.Refused:
-		s.eject(now)
+		s.eject(now, true)
 	case target.Shed:
 		s.shedUntil = now + shedPause
 	}
@@ -270,7 +280,7 @@
 // doubt counts a weak sign of a failure. Two within errorSpan eject.
 func (s *state) doubt(now time.Duration) {
 	if s.failedAt != 0 && now-s.failedAt <= errorSpan {
-		s.eject(now)
+		s.eject(now, false)
 	}
 	s.failedAt = max(now, 1)
 }
@@ -287,7 +297,8 @@
 	return true
 }
 
-func (s *state) eject(now time.Duration) {
+func (s *state) eject(now time.Duration, losing bool) {
+	s.losing = losing || s.losing && now < s.doubtUntil
 	s.successes = 0
 	s.outUntil = now + ejection
 	s.doubtUntil = now + ejection + probation
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -135,6 +135,59 @@
 	is.True(counts["desk-04"] > 0 && counts["desk-05"] > 0)
 }
 
+// Four of six targets reset what they get, and the other two, which now have
+// everybody's work, turn slow or full: they go on getting it, since the four would
+// lose most of it.
+func TestOverrunTargetsAreBetterThanLosingOnes(t *testing.T) {
+	tests := []struct {
+		name string
+		see  func(*outlier.Table, string)
+	}{
+		{
+			name: "overdue",
+			see:  func(t *outlier.Table, name string) { t.Overdue(now, name) },
+		},
+		{
+			name: "late elsewhere, twice",
+			see: func(t *outlier.Table, name string) {
+				t.Heard(now, name, target.TimedOut)
+				t.Heard(now, name, target.TimedOut)
+			},
+		},
+		{
+			name: "shedding",
+			see:  func(t *outlier.Table, name string) { t.Done(now, name, target.Shed) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(6)
+			for i := range 4 {
+				table.Heard(now-2*time.Second, fmt.Sprintf("desk-%02d", i), target.Crashed)
+			}
+			tt.see(table, "desk-04")
+			tt.see(table, "desk-05")
+			counts := chosen(table, now, outlier.Request{})
+			is.Equal(counts["desk-04"]+counts["desk-05"], 600)
+			// Once the four are due for a trial, they get it.
+			is.True(chosen(table, now+3*time.Second, outlier.Request{Repeatable: true})["desk-00"] > 0)
+		})
+	}
+}
+
+// A target that was slow while it also lost requests stays out as a losing one.
+func TestSlownessHidesNoLoss(t *testing.T) {
+	is := is.New(t)
+	table := newTable(6)
+	for i := range 6 {
+		table.Heard(now-time.Second, fmt.Sprintf("desk-%02d", i), target.Crashed)
+	}
+	table.Overdue(now, "desk-00")
+	table.Overdue(now-3*time.Second, "desk-01")
+	is.Equal(chosen(table, now, outlier.Request{})["desk-00"], 0)
+}
+
 // A target that fails most requests still answers a few, so one success doesn't
 // end its probation, and two do.
 func TestTwoSuccessesEndAProbation(t *testing.T) {
