Tell the zone what runs where, and fill its free slots first

Instances of a zone now tell each other what they have running, at most 125 datagrams a second each; own targets with free slots come first, then other zones, in place of a fixed share (nearFactor).

Tests failing first: TestOthersLoadsCount, TestLoadsAreToldUntilTheyEnd, and TestOwnZoneGetsWorkWhileItHasRoom, whose "about three quarters" was the fixed share: it now asks for all free slots of the zone and not one request more.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -31,6 +33,11 @@
 	// unknownPatience holds for routes without an objective while their usual
 	// latency isn't known.
 	unknownPatience = 3 * time.Second
+	// loadPeriodPerMember bounds what an instance sends and hears of loads to
+	// 125 datagrams a second, however large its zone.
+	loadPeriodPerMember = 8 * time.Millisecond
+	// loadTerms is for how many periods a report counts: one may be lost.
+	loadTerms = 3
 	// noTargetRetry is when callers of a service without targets come back.
 	noTargetRetry = time.Second
 )
@@ -110,6 +117,7 @@
 		target:   chosen,
 		patience: patience,
 		counts:   s.table.Counts(now),
+		inUse:    s.table.InUse(now, chosen.Name),
 	}
 	p.timer = time.AfterFunc(patience, p.suspect)
 	return p, nil
@@ -161,12 +169,15 @@
 	timer    *time.Timer
 	// counts is how the service's targets stood at the choice.
 	counts outlier.Counts
+	// inUse is what ran at the target then, this request included.
+	inUse int
 }
 
 // Why implements entry.Explained.
 func (p *place) Why() []slog.Attr {
 	return []slog.Attr{
 		slog.String("Zone", p.target.Zone),
+		slog.Int("InUse", p.inUse),
 		slog.Int("Sound", p.counts.Sound),
 		slog.Int("Doubtful", p.counts.Doubtful),
 		slog.Int("Out", p.counts.Out),
@@ -258,8 +269,46 @@
 	}
 }
 
+// tellLoads tells the zone what this instance has running at targets.
+func (g *Gateway) tellLoads() {
+	var m loads
+	g.belief.look(func() {
+		for _, name := range slices.Sorted(maps.Keys(g.belief.services)) {
+			for _, l := range g.belief.services[name].table.Loads() {
+				m.List = append(m.List, load{
+					Service: name,
+					Load:    l,
+				})
+			}
+		}
+	})
+	if len(m.List) > 0 {
+		g.tellZone(m)
+	}
+}
+
+// loadPeriod is the time between two reports of loads: a tenth of a second for a
+// dozen instances in a zone, more where more instances tell each other.
+func (b *belief) loadPeriod() time.Duration {
+	return max(tickPeriod, time.Duration(len(b.roster.Own()))*loadPeriodPerMember)
+}
+
+// hearLoads takes in what another instance of the zone has running.
+func (g *Gateway) hearLoads(from instance.Address, m loads) {
+	now := boot.Now()
+	b := g.belief
+	b.look(func() {
+		term := loadTerms * b.loadPeriod()
+		for _, l := range m.List {
+			if s := b.services[l.Service]; s != nil {
+				s.table.HeardLoad(now, string(from), l.Load, term)
+			}
+		}
+	})
+}
+
 // tellZone tells all other instances of the zone.
-func (g *Gateway) tellZone(m failure) {
+func (g *Gateway) tellZone(m message) {
 	var mates []instance.Address
 	g.belief.look(func() { mates = g.belief.zoneMates("") })
 	for _, a := range mates {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -9,12 +9,13 @@
 
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
+	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/target"
 )
 
-// message is a datagram between instances: ask, verdict, failure, wants or
-// offers.
+// message is a datagram between instances: ask, verdict, failure, wants, offers
+// or loads.
 type message interface{ message() }
 
 // ask wants a unit of an organisation's rate or a retry of a service's budget.
@@ -63,11 +64,23 @@
 	List []meter.Offer
 }
 
+// loads tells what the sender has running at targets.
+type loads struct {
+	List []load
+}
+
+// load is one target's.
+type load struct {
+	Service string
+	outlier.Load
+}
+
 func (ask) message()     {}
 func (verdict) message() {}
 func (failure) message() {}
 func (wants) message()   {}
 func (offers) message()  {}
+func (loads) message()   {}
 
 // kind is what an instance keeps for its zone.
 type kind uint64
@@ -93,6 +106,7 @@
 	failureType
 	wantsType
 	offersType
+	loadsType
 )
 
 const (
@@ -144,33 +158,35 @@
 	case wants:
 		b := number(nil, fieldType, wantsType)
 		for _, w := range m.List {
-			b = part(b, w)
+			one := part(w.Organisation, w.Zone, w.Part, w.Sent)
+			b = text(b, fieldPart, string(number(one, fieldPass, protowire.EncodeBool(w.Keeper))))
 		}
 		b = text(b, fieldService, string(m.Borrower))
 		return number(b, fieldPass, protowire.EncodeBool(m.Pass))
 	case offers:
 		b := number(nil, fieldType, offersType)
 		for _, o := range m.List {
-			b = part(b, meter.Want{
-				Organisation: o.Organisation,
-				Zone:         o.Zone,
-				Part:         o.Part,
-				Sent:         o.Sent,
-			})
+			b = text(b, fieldPart, string(part(o.Organisation, o.Zone, o.Part, o.Sent)))
+		}
+		return b
+	case loads:
+		b := number(nil, fieldType, loadsType)
+		for _, l := range m.List {
+			one := text(nil, fieldService, l.Service)
+			one = text(one, fieldName, l.Target)
+			b = text(b, fieldPart, string(number(one, fieldAmount, uint64(l.Running))))
 		}
 		return b
 	}
 	return nil
 }
 
-// part appends a part of an organisation's rate.
-func part(b []byte, w meter.Want) []byte {
-	one := text(nil, fieldName, w.Organisation)
-	one = text(one, fieldService, w.Zone)
-	one = number(one, fieldAmount, uint64(math.Round(w.Part*perMillion)))
-	one = number(one, fieldPass, protowire.EncodeBool(w.Keeper))
-	one = number(one, fieldNumber, uint64(w.Sent))
-	return text(b, fieldPart, string(one))
+// part is a part of an organisation's rate.
+func part(organisation, zone string, share float64, sent time.Duration) []byte {
+	b := text(nil, fieldName, organisation)
+	b = text(b, fieldService, zone)
+	b = number(b, fieldAmount, uint64(math.Round(share*perMillion)))
+	return number(b, fieldNumber, uint64(sent))
 }
 
 func number(b []byte, n protowire.Number, v uint64) []byte {
@@ -185,7 +201,7 @@
 type fields struct {
 	numbers [fieldPart + 1]uint64
 	texts   [fieldPart + 1]string
-	parts   []meter.Want
+	parts   []fields
 }
 
 var errMalformed = errors.New("malformed message")
@@ -200,28 +216,23 @@
 		f.numbers[n] = v
 		f.texts[n] = string(content)
 		if n == fieldPart {
-			return f.addPart(content)
+			one, err := parse(content)
+			f.parts = append(f.parts, one)
+			return err
 		}
 		return nil
 	})
 	return f, err
 }
 
-func (f *fields) addPart(b []byte) error {
-	p, err := parse(b)
-	if err != nil {
-		return err
-	}
-	f.parts = append(f.parts, meter.Want{
-		Organisation: p.texts[fieldName],
-		Zone:         p.texts[fieldService],
-		Part:         float64(p.numbers[fieldAmount]) / perMillion,
-		Keeper:       protowire.DecodeBool(p.numbers[fieldPass]),
-		Sent:         time.Duration(min(p.numbers[fieldNumber], math.MaxInt64)),
-	})
-	return nil
+// sent is when a want was sent, on its sender's clock.
+func (f *fields) sent() time.Duration {
+	return time.Duration(min(f.numbers[fieldNumber], math.MaxInt64))
 }
 
+// share is a part of a rate, from 0 to 1.
+func (f *fields) share() float64 { return float64(f.numbers[fieldAmount]) / perMillion }
+
 // decode reads a datagram.
 func decode(b []byte) (message, error) {
 	f, err := parse(b)
@@ -256,19 +267,40 @@
 		copy(m.Suspect[:], f.texts[fieldSuspect])
 		return m, nil
 	case wantsType:
-		return wants{
-			List:     f.parts,
+		m := wants{
 			Borrower: instance.Address(f.texts[fieldService]),
 			Pass:     protowire.DecodeBool(f.numbers[fieldPass]),
-		}, nil
+		}
+		for _, p := range f.parts {
+			m.List = append(m.List, meter.Want{
+				Organisation: p.texts[fieldName],
+				Zone:         p.texts[fieldService],
+				Part:         p.share(),
+				Keeper:       protowire.DecodeBool(p.numbers[fieldPass]),
+				Sent:         p.sent(),
+			})
+		}
+		return m, nil
 	case offersType:
 		m := offers{}
 		for _, p := range f.parts {
 			m.List = append(m.List, meter.Offer{
-				Organisation: p.Organisation,
-				Zone:         p.Zone,
-				Part:         p.Part,
-				Sent:         p.Sent,
+				Organisation: p.texts[fieldName],
+				Zone:         p.texts[fieldService],
+				Part:         p.share(),
+				Sent:         p.sent(),
+			})
+		}
+		return m, nil
+	case loadsType:
+		m := loads{}
+		for _, p := range f.parts {
+			m.List = append(m.List, load{
+				Service: p.texts[fieldService],
+				Load: outlier.Load{
+					Target:  p.texts[fieldName],
+					Running: int(min(p.numbers[fieldAmount], math.MaxInt16)),
+				},
 			})
 		}
 		return m, nil
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"dandelionmux/pkg/meter"
+	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/target"
 )
@@ -82,6 +83,26 @@
 				}},
 			},
 		},
+		{
+			name: "loads",
+			m: loads{
+				List: []load{
+					{
+						Service: "desk",
+						Load: outlier.Load{
+							Target:  "desk-a",
+							Running: 3,
+						},
+					},
+					{
+						Service: "desk",
+						Load: outlier.Load{
+							Target: "desk-b",
+						},
+					},
+				},
+			},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -78,5 +78,7 @@
 		g.hearWants(m)
 	case offers:
 		g.hearOffers(m)
+	case loads:
+		g.hearLoads(from, m)
 	}
 }
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -9,8 +9,12 @@
 // repeated is lost if the failure isn't over.
 //
 // A server error counts only when another one follows within seconds, since
-// some requests fail by themselves. When all targets are out, the one that failed
-// the longest ago gets the work.
+// some requests fail by themselves. When all targets are out, those that were only
+// slow or full get the work, then those that failed the longest ago.
+//
+// Instances of a zone tell each other what they have running, a few times a second.
+// Work stays in the own zone while a target there has a free slot, and goes to the
+// less busy of two.
 //
 // # Usage
 //
@@ -21,4 +25,5 @@
 //	if t.Done(now, chosen.Name, outcome) {
 //		// Tell the other instances, whose tables take it in by Heard.
 //	}
+//	// A few times a second tell those of the zone t.Loads(), for HeardLoad.
 package outlier
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -26,10 +26,6 @@
 	// even if some of them are on probation: with fewer the others would be
 	// overrun at twice the usual load.
 	soundPercent = 40
-	// nearFactor times its usual work is what a target takes on for others of its
-	// zone that are out, before work goes to other zones: targets are about half
-	// busy, and bytes between zones cost.
-	nearFactor = 1.5
 	// leastPercent of the targets are in use even if they have just failed: when
 	// so many fail they may be overrun, and fewer would only make it worse.
 	leastPercent = 20
@@ -53,7 +49,12 @@
 type state struct {
 	document.Target
 	warmUntil time.Duration
-	running   int
+	// running counts the instance's own requests there, and told what the others
+	// were last told of it.
+	running int
+	told    int
+	// others is what others have running there.
+	others map[string]heard
 	// outUntil ends the ejection, and doubtUntil the probation after it, in which
 	// successes counts the requests that went well.
 	outUntil   time.Duration
@@ -69,6 +70,18 @@
 	failedAt time.Duration
 }
 
+// heard is what another instance had running, until when that counts.
+type heard struct {
+	running int
+	until   time.Duration
+}
+
+// Load is how many requests an instance has running at a target.
+type Load struct {
+	Target  string
+	Running int
+}
+
 // Request is what a choice depends on.
 type Request struct {
 	Repeatable bool
@@ -120,7 +133,7 @@
 	if len(candidates) == 0 {
 		return document.Target{}, false
 	}
-	s := t.lighter(now, t.near(candidates))
+	s := t.lighter(now, t.near(now, candidates))
 	s.running++
 	return s.Target, true
 }
@@ -172,30 +185,28 @@
 	return append(list, more[:min(number-len(list), len(more))]...)
 }
 
-// near keeps to the instance's own zone as far as the zone's candidates can take
-// the work, so that a zone with few of them isn't overrun.
-func (t *Table) near(candidates []*state) []*state {
-	var own, far []*state
+// near keeps to the targets of the instance's own zone that have free slots. If
+// there is none, the work goes to other zones.
+func (t *Table) near(now time.Duration, candidates []*state) []*state {
+	var free, own, far []*state
 	for _, s := range candidates {
-		if s.Zone == t.zone {
-			own = append(own, s)
-		} else {
+		switch {
+		case s.Zone != t.zone:
 			far = append(far, s)
+		case s.inUse(now) < s.Slots:
+			free = append(free, s)
+		default:
+			own = append(own, s)
 		}
 	}
-	if len(own) == 0 || len(far) == 0 {
-		return candidates
-	}
-	all := 0
-	for _, s := range t.order {
-		if s.Zone == t.zone && !s.Leaving {
-			all++
-		}
-	}
-	if t.random.Float64()*float64(all) < nearFactor*float64(len(own)) {
+	switch {
+	case len(free) > 0:
+		return free
+	case len(far) > 0:
+		return far
+	default:
 		return own
 	}
-	return far
 }
 
 // lighter picks the less busy of two random candidates.
@@ -208,15 +219,61 @@
 	return a
 }
 
-// load is how much of the target's room the instance uses.
+// inUse is how many requests run at the target, as far as the instance knows.
+func (s *state) inUse(now time.Duration) int {
+	all := s.running
+	for _, h := range s.others {
+		if now < h.until {
+			all += h.running
+		}
+	}
+	return all
+}
+
+// load is how much of the target's room is in use, with one request more.
 func (s *state) load(now time.Duration) float64 {
-	load := float64(s.running+1) / float64(max(s.Slots, 1))
+	load := float64(s.inUse(now)+1) / float64(max(s.Slots, 1))
 	if now < s.warmUntil {
 		return 2 * load
 	}
 	return load
 }
 
+// Loads lists what the instance has running, for the others: all targets in use,
+// and those that are in use no more since the last call.
+func (t *Table) Loads() []Load {
+	var list []Load
+	for _, s := range t.order {
+		if s.running > 0 || s.told > 0 {
+			list = append(list, Load{
+				Target:  s.Name,
+				Running: s.running,
+			})
+			s.told = s.running
+		}
+	}
+	return list
+}
+
+// HeardLoad takes in what another instance has running. It counts for the term.
+func (t *Table) HeardLoad(now time.Duration, from string, l Load, term time.Duration) {
+	s := t.targets[l.Target]
+	if s == nil {
+		return
+	}
+	if s.others == nil {
+		s.others = map[string]heard{}
+	}
+	if l.Running <= 0 {
+		delete(s.others, from)
+		return
+	}
+	s.others[from] = heard{
+		running: l.Running,
+		until:   now + term,
+	}
+}
+
 // Done ends a request at a target. It reports whether the other instances should
 // learn of the outcome.
 func (t *Table) Done(now time.Duration, name string, outcome target.Outcome) bool {
@@ -330,6 +387,15 @@
 	return c
 }
 
+// InUse is how many requests run at a target, as far as the instance knows, for
+// logs.
+func (t *Table) InUse(now time.Duration, name string) int {
+	if s := t.targets[name]; s != nil {
+		return s.inUse(now)
+	}
+	return 0
+}
+
 // Ejected reports whether a target is out, for logs and metrics.
 func (t *Table) Ejected(now time.Duration, name string) bool {
 	s := t.targets[name]
