Keep refusals and failures in the log when the output is slow

Lines were dropped by arrival once the queue was full, so a burst of answered requests could push out the refusals among them.

--- a/cmd/dandelionmux/platform.go
+++ b/cmd/dandelionmux/platform.go
@@ -9,6 +9,9 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionmux/internal/entry"
 	"dandelionmux/internal/gateway"
 	"dandelionmux/internal/linelog"
 	"dandelionmux/platform"
@@ -28,8 +31,11 @@
 	}
 	lines := linelog.New(out)
 	defer lines.Close()
-	logger := slog.New(slog.NewTextHandler(lines, nil))
-	if err := servePlatform(s, path, logger); err != nil {
+	registry := metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("Log.Dropped", registry, lines.Dropped)
+	metrics.NewRegisteredFunctionalGauge("Log.Thinned", registry, lines.Thinned)
+	logger := slog.New(lines.Handler(slog.NewTextHandler(lines, nil), entry.Routine))
+	if err := servePlatform(s, path, logger, registry); err != nil {
 		logger.Error("instance failed",
 			slog.String("Error", err.Error()))
 		return exitFailed
@@ -40,11 +46,11 @@
 // servePlatform runs an instance until a signal ends it. Settings that change
 // are read and checked; addresses can't change under a running process, so
 // nothing else follows from them.
-func servePlatform(s gateway.Settings, path string, logger *slog.Logger) error {
+func servePlatform(s gateway.Settings, path string, logger *slog.Logger, registry metrics.Registry) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	g, err := gateway.Start(s, platform.Adapters(s), gateway.WithLogger(logger))
+	g, err := gateway.Start(s, platform.Adapters(s), gateway.WithLogger(logger), gateway.WithMetrics(registry))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -214,7 +214,7 @@
 		}
 	}
 	x.handler.meters.answered(a.response.StatusCode, time.Since(x.began))
-	x.log("answered", "", a.response.StatusCode)
+	x.log(answeredMessage, "", a.response.StatusCode)
 	return nil
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"time"
 )
 
@@ -22,6 +23,31 @@
 	return id
 }
 
+// Routine tells whether a record only says that a request takes its usual way, so
+// that it may be left out where there are too many.
+func Routine(r slog.Record) bool {
+	switch r.Message {
+	case placedMessage:
+		return true
+	case answeredMessage:
+		routine := true
+		r.Attrs(func(a slog.Attr) bool {
+			if a.Key == "Status" {
+				routine = a.Value.Int64() < http.StatusInternalServerError
+			}
+			return true
+		})
+		return routine
+	}
+	return false
+}
+
+// Messages of routine records.
+const (
+	placedMessage   = "placed"
+	answeredMessage = "answered"
+)
+
 // logAttempt logs where an attempt goes.
 func (x *exchange) logAttempt(slot Slot, n int) {
 	if !x.handler.decisions {
@@ -40,7 +66,7 @@
 	if e, ok := slot.(Explained); ok {
 		attributes = append(attributes, e.Why()...)
 	}
-	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "placed", attributes...)
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, placedMessage, attributes...)
 }
 
 // log logs how a request ended. It never sees a key or a path.
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -267,43 +267,55 @@
 		copy(m.Suspect[:], f.texts[fieldSuspect])
 		return m, nil
 	case wantsType:
-		m := wants{
-			Borrower: instance.Address(f.texts[fieldService]),
-			Pass:     protowire.DecodeBool(f.numbers[fieldPass]),
-		}
-		for _, p := range f.parts {
-			m.List = append(m.List, meter.Want{
-				Organisation: p.texts[fieldName],
-				Zone:         p.texts[fieldService],
-				Part:         p.share(),
-				Keeper:       protowire.DecodeBool(p.numbers[fieldPass]),
-				Sent:         p.sent(),
-			})
-		}
-		return m, nil
+		return f.wants(), nil
 	case offersType:
-		m := offers{}
-		for _, p := range f.parts {
-			m.List = append(m.List, meter.Offer{
-				Organisation: p.texts[fieldName],
-				Zone:         p.texts[fieldService],
-				Part:         p.share(),
-				Sent:         p.sent(),
-			})
-		}
-		return m, nil
+		return f.offers(), nil
 	case loadsType:
-		m := loads{}
-		for _, p := range f.parts {
-			m.List = append(m.List, load{
-				Service: p.texts[fieldService],
-				Load: outlier.Load{
-					Target:  p.texts[fieldName],
-					Running: int(min(p.numbers[fieldAmount], math.MaxInt16)),
-				},
-			})
-		}
-		return m, nil
+		return f.loads(), nil
 	}
 	return nil, errors.Wrapf(errMalformed, "type %d", f.numbers[fieldType])
 }
+
+func (f *fields) wants() wants {
+	m := wants{
+		Borrower: instance.Address(f.texts[fieldService]),
+		Pass:     protowire.DecodeBool(f.numbers[fieldPass]),
+	}
+	for _, p := range f.parts {
+		m.List = append(m.List, meter.Want{
+			Organisation: p.texts[fieldName],
+			Zone:         p.texts[fieldService],
+			Part:         p.share(),
+			Keeper:       protowire.DecodeBool(p.numbers[fieldPass]),
+			Sent:         p.sent(),
+		})
+	}
+	return m
+}
+
+func (f *fields) offers() offers {
+	m := offers{}
+	for _, p := range f.parts {
+		m.List = append(m.List, meter.Offer{
+			Organisation: p.texts[fieldName],
+			Zone:         p.texts[fieldService],
+			Part:         p.share(),
+			Sent:         p.sent(),
+		})
+	}
+	return m
+}
+
+func (f *fields) loads() loads {
+	m := loads{}
+	for _, p := range f.parts {
+		m.List = append(m.List, load{
+			Service: p.texts[fieldService],
+			Load: outlier.Load{
+				Target:  p.texts[fieldName],
+				Running: int(min(p.numbers[fieldAmount], math.MaxInt16)),
+			},
+		})
+	}
+	return m
+}
--- a/internal/linelog/linelog.go
+++ b/internal/linelog/linelog.go
@@ -1,14 +1,16 @@
 // Package linelog writes log lines without ever making the caller wait.
 //
 // Lines go through a bounded queue to one goroutine that writes them. When the
-// output stands still the queue fills, further lines are dropped and counted,
-// and the count is written once there is room again.
+// output is slow the queue fills. Routine records are left out from half of it on,
+// so that refusals, failures and changes of belief find room; once it is full all
+// further lines are dropped. Both are counted, and the counts are written once
+// there is room again.
 //
 // # Usage
 //
 //	w := linelog.New(os.Stdout)
 //	defer w.Close()
-//	logger := slog.New(slog.NewTextHandler(w, nil))
+//	logger := slog.New(w.Handler(slog.NewTextHandler(w, nil), routine))
 package linelog
 
 import (
@@ -31,6 +33,7 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	thinned atomic.Int64
 	done    chan struct{}
 	closing sync.Once
 	stop    chan struct{}
@@ -61,6 +64,12 @@
 // Dropped is the number of lines that were lost.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// Thinned is the number of routine records that were left out.
+func (w *Writer) Thinned() int64 { return w.thinned.Load() }
+
+// crowded tells whether routine records are left out.
+func (w *Writer) crowded() bool { return len(w.lines) >= Lines/2 }
+
 // Close writes what is queued, unless the output stands still.
 func (w *Writer) Close() {
 	w.closing.Do(func() { close(w.stop) })
@@ -72,7 +81,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	told := int64(0)
+	var told counts
 	for {
 		select {
 		case line := <-w.lines:
@@ -85,14 +94,21 @@
 	}
 }
 
-// tell writes how many lines were dropped since it was last told.
-func (w *Writer) tell(told int64) int64 {
-	dropped := w.dropped.Load()
-	if dropped == told || len(w.lines) > Lines/2 {
+// counts are the lines that were lost.
+type counts struct{ dropped, thinned int64 }
+
+// tell writes how many lines were lost since it was last told.
+func (w *Writer) tell(told counts) counts {
+	now := counts{
+		dropped: w.Dropped(),
+		thinned: w.Thinned(),
+	}
+	if now == told || w.crowded() {
 		return told
 	}
-	_, _ = fmt.Fprintf(w.out, "level=WARN msg=%q Dropped=%d\n", "log lines dropped", dropped-told)
-	return dropped
+	_, _ = fmt.Fprintf(w.out, "level=WARN msg=%q Dropped=%d Thinned=%d\n", "log lines dropped",
+		now.dropped-told.dropped, now.thinned-told.thinned)
+	return now
 }
 
 func (w *Writer) drain() {
--- /dev/null
+++ b/internal/linelog/linelog_test.go
@@ -0,0 +1,143 @@
+package linelog_test
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"dandelionmux/internal/linelog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// gate is an output that stands still until it is opened.
+type gate struct {
+	open chan struct{}
+
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(b)
+}
+
+func (g *gate) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.String()
+}
+
+func routine(r slog.Record) bool { return r.Message == "answered" }
+
+func newLogger(out io.Writer) (*linelog.Writer, *slog.Logger) {
+	w := linelog.New(out)
+	return w, slog.New(w.Handler(slog.NewTextHandler(w, nil), routine)).With(slog.String("Zone", "a"))
+}
+
+// An output that stands still under a burst of requests: nobody waits, and the
+// refusals among them are kept.
+func TestRefusalsAreKeptWhileTheOutputStandsStill(t *testing.T) {
+	is := is.New(t)
+	out := &gate{
+		open: make(chan struct{}),
+	}
+	w, logger := newLogger(out)
+	const answered, refused = 5000, 400
+	for i := range answered {
+		logger.Info("answered")
+		if i%(answered/refused) == 0 {
+			logger.Info("refused")
+		}
+	}
+	is.True(w.Thinned() > 0)
+	is.Equal(w.Dropped(), int64(0))
+	close(out.open)
+	for until := time.Now().Add(10 * time.Second); !strings.Contains(out.String(), "log lines dropped"); {
+		if time.Now().After(until) {
+			t.Fatal("the loss is never told")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	w.Close()
+	log := out.String()
+	is.True(strings.Count(log, "msg=refused Zone=a") >= refused)
+	is.Equal(strings.Count(log, "msg=answered")+int(w.Thinned()), answered)
+}
+
+// Even what isn't routine is bounded.
+func TestLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	out := &gate{
+		open: make(chan struct{}),
+	}
+	w, logger := newLogger(out)
+	for range 3 * linelog.Lines {
+		logger.Info("refused")
+	}
+	is.True(w.Dropped() >= 2*linelog.Lines-1) // one is being written
+	close(out.open)
+	w.Close()
+}
+
+func TestCloseDoesNotWaitForAnOutputThatStandsStill(t *testing.T) {
+	out := &gate{
+		open: make(chan struct{}),
+	}
+	w, logger := newLogger(out)
+	logger.Info("refused")
+	closed := make(chan struct{})
+	go func() {
+		w.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits")
+	}
+	close(out.open)
+}
+
+// BenchmarkRefusedWhileBlocked is what a line costs its caller while the output
+// stands still and the queue is full.
+func BenchmarkRefusedWhileBlocked(b *testing.B) {
+	benchmark(b, "refused")
+}
+
+// BenchmarkAnsweredWhileBlocked is the same for a routine line.
+func BenchmarkAnsweredWhileBlocked(b *testing.B) {
+	benchmark(b, "answered")
+}
+
+func benchmark(b *testing.B, message string) {
+	out := &gate{
+		open: make(chan struct{}),
+	}
+	w, logger := newLogger(out)
+	for range linelog.Lines + 1 {
+		logger.Info("refused")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		logger.Info(message,
+			slog.String("Request", "9c41d07be2a35f68"),
+			slog.String("Organisation", "orchard"),
+			slog.String("Route", "route"),
+			slog.String("Service", "desk"),
+			slog.Int("Status", 200),
+			slog.Duration("Took", 300*time.Millisecond))
+	}
+	close(out.open)
+	w.Close()
+}
