Decide the patience with a target in pkg/outlier

The usual latencies and what a short request says of its target were decided in internal/gateway; decisions belong into pkg/, without network.

--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -265,9 +265,9 @@
 	for name, list := range services {
 		if b.services[name] == nil {
 			b.services[name] = &service{
-				name:  name,
-				table: outlier.New(b.gateway.settings.Zone, newRandom()),
-				usual: map[string]*usual{},
+				name:      name,
+				table:     outlier.New(b.gateway.settings.Zone, newRandom()),
+				latencies: outlier.NewLatencies(),
 			}
 			b.services[name].table.Update(now, list)
 		}
@@ -307,9 +307,7 @@
 
 // hush passes over a keeper that didn't answer.
 func (b *belief) hush(a instance.Address, task string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.silent[a] = boot.Now() + silence
+	b.look(func() { b.silent[a] = boot.Now() + silence })
 	b.gateway.count("Peer.Silent")
 	b.gateway.logger.Warn("instance silent",
 		slog.String("Peer", string(a)),
@@ -318,9 +316,7 @@
 
 // distrust passes over a reader whose proof is stale.
 func (b *belief) distrust(a instance.Address, why string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.stale[a] = boot.Now() + staleSilence
+	b.look(func() { b.stale[a] = boot.Now() + staleSilence })
 	b.gateway.count("Reader.Stale")
 	b.gateway.logger.Warn("reader stale",
 		slog.String("Peer", string(a)),
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -19,20 +18,8 @@
 	"dandelionmux/pkg/target"
 )
 
-// Limits of patience with a target.
+// Terms of placing requests.
 const (
-	// patienceFactor times the usual latency of a route is too long. One request
-	// in a hundred takes three to five times as long by itself.
-	patienceFactor = 3
-	// patienceLeast is the shortest patience.
-	patienceLeast = time.Second
-	// usualSamples is how many answers make a usual latency.
-	usualSamples = 5
-	// usualWeight is the weight of a new sample in the average.
-	usualWeight = 0.1
-	// unknownPatience holds for routes without an objective while their usual
-	// latency isn't known.
-	unknownPatience = 3 * time.Second
 	// loadPeriodPerMember bounds what an instance sends and hears of loads to
 	// 125 datagrams a second, however large its zone.
 	loadPeriodPerMember = 8 * time.Millisecond
@@ -44,39 +31,14 @@
 
 // service is what the instance holds of one service. The belief's lock guards it.
 type service struct {
-	name  string
-	table *outlier.Table
-	// usual is the usual latency by route.
-	usual map[string]*usual
+	name      string
+	table     *outlier.Table
+	latencies *outlier.Latencies
 	// begun are the requests begun since the last ask for a retry.
 	begun int
 	since time.Duration
 }
 
-// usual is a running average of latencies.
-type usual struct {
-	mean    time.Duration
-	samples int
-}
-
-func (u *usual) add(d time.Duration) {
-	u.samples++
-	if u.samples <= usualSamples {
-		u.mean += (d - u.mean) / time.Duration(u.samples)
-		return
-	}
-	u.mean += time.Duration(usualWeight * float64(d-u.mean))
-}
-
-// patience is the route's objective while too little is known: an answer that
-// comes after it is late whatever is usual.
-func (u *usual) patience(objective time.Duration) time.Duration {
-	if u == nil || u.samples < usualSamples {
-		return cmp.Or(objective, unknownPatience)
-	}
-	return max(patienceFactor*u.mean, patienceLeast)
-}
-
 // dispatch implements entry.Dispatch.
 type dispatch struct{ gateway *Gateway }
 
@@ -109,7 +71,7 @@
 	if len(want.Avoid) == 0 {
 		s.begin(now, g.settings.RetryWindow)
 	}
-	patience := s.usual[want.Route.Name].patience(want.Route.Objective)
+	patience := s.latencies.Patience(want.Route.Name, want.Route.Objective)
 	p := &place{
 		gateway:  g,
 		service:  want.Service,
@@ -206,17 +168,13 @@
 	}
 }
 
-// outcome is how the attempt counts for the target: a request whose own time
-// was short tells nothing by ending, and another target at the address means
-// that this one isn't there.
+// outcome is how the attempt counts for the target. Another target at the address
+// means that this one isn't there.
 func (p *place) outcome(e entry.Ended) target.Outcome {
-	switch {
-	case e.Elsewhere:
+	if e.Elsewhere {
 		return target.Refused
-	case e.Outcome == target.TimedOut && e.Latency < p.patience:
-		return target.Cancelled
 	}
-	return e.Outcome
+	return outlier.Evidence(e.Outcome, e.Latency, p.patience)
 }
 
 // Done implements entry.Slot.
@@ -232,12 +190,7 @@
 		}
 		news = s.table.Done(boot.Now(), p.target.Name, outcome)
 		if outcome == target.Succeeded {
-			u := s.usual[p.route]
-			if u == nil {
-				u = &usual{}
-				s.usual[p.route] = u
-			}
-			u.add(e.Latency)
+			s.latencies.Add(p.route, e.Latency)
 		}
 	})
 	if news {
--- /dev/null
+++ b/pkg/outlier/patience_test.go
@@ -0,0 +1,89 @@
+package outlier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/pkg/outlier"
+	"dandelionmux/pkg/target"
+)
+
+func TestPatience(t *testing.T) {
+	tests := []struct {
+		name      string
+		samples   []time.Duration
+		objective time.Duration
+		want      time.Duration
+	}{
+		{
+			name: "nothing known",
+			want: 3 * time.Second,
+		},
+		{
+			name:      "the objective while little is known",
+			samples:   []time.Duration{time.Second, time.Second},
+			objective: 1200 * time.Millisecond,
+			want:      1200 * time.Millisecond,
+		},
+		{
+			name:      "three times the usual",
+			samples:   []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+			objective: 1200 * time.Millisecond,
+			want:      1500 * time.Millisecond,
+		},
+		{
+			name:    "a second at least",
+			samples: []time.Duration{10 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond},
+			want:    time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := outlier.NewLatencies()
+			for _, d := range tt.samples {
+				l.Add("route", d)
+			}
+			is.Equal(l.Patience("route", tt.objective), tt.want)
+			is.Equal(l.Patience("other", tt.objective), outlier.NewLatencies().Patience("other", tt.objective))
+		})
+	}
+}
+
+// Requests whose own time is shorter than any answer, such as those that only
+// test a route's timeout, must not eject the targets that they time out at.
+func TestShortRequestsAreNoEvidence(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome target.Outcome
+		latency time.Duration
+		want    target.Outcome
+	}{
+		{
+			name:    "deadline before the patience",
+			outcome: target.TimedOut,
+			latency: 400 * time.Millisecond,
+			want:    target.Cancelled,
+		},
+		{
+			name:    "patience used up",
+			outcome: target.TimedOut,
+			latency: 1100 * time.Millisecond,
+			want:    target.TimedOut,
+		},
+		{
+			name:    "connection died early",
+			outcome: target.Crashed,
+			latency: time.Millisecond,
+			want:    target.Crashed,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(outlier.Evidence(tt.outcome, tt.latency, time.Second), tt.want)
+		})
+	}
+}
