Count only instances that are heard in a zone's part, and give out nothing alone to the hot

Two causes, from the logs: instances whose keeper and stand-in were both cut off decided alone, a unit at once each (19 times in 5 s); and a keeper on the small side of the split gave out its zone's part and one that it had borrowed there, while stand-ins gave out the same parts on the other side.

A zone's part now counts the members that were heard within a second; each instance sends a report every 0.3 s at least. Alone an instance gives out nothing to an organisation that was over its rate, and a third keeper is tried first.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -19,8 +19,13 @@
 // of a tenth of a second.
 var askWaits = [...]time.Duration{60 * time.Millisecond, 140 * time.Millisecond}
 
-// askKeepers is how many keepers are tried before an instance decides alone.
-const askKeepers = 2
+// askKeepers is how many keepers are tried before an instance decides alone: the
+// fleet's, its zone's stand-in and, since both may be cut off at once, the next.
+const askKeepers = 3
+
+// hearTerm is how long an instance of the zone counts as being in touch after a
+// datagram. Each sends one every quietPeriod at least, and three may be lost.
+const hearTerm = time.Second
 
 // asks pairs verdicts with the asks that wait for them.
 type asks struct {
@@ -71,6 +76,9 @@
 			})
 		}
 		if v, ok := g.askKeeper(ctx, keeper, k, name, amount); ok {
+			if k == rate {
+				g.belief.look(func() { g.belief.alone.Saw(boot.Now(), name, v.Granted) })
+			}
 			return v
 		}
 		if ctx.Err() != nil {
@@ -170,8 +178,8 @@
 	b := g.belief
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	zones := b.roster.Zones(g.settings.Zones)
 	now := boot.Now()
+	zones := b.zones(now)
 	if a.Kind == budget {
 		return meter.Verdict{
 			Granted: b.budget.Ask(now, a.Name, a.Amount, zones.Part),
@@ -215,9 +223,20 @@
 			Granted: true,
 		}
 	}
-	return b.own.Ask(boot.Now(), r, amount, meter.StandIn, meter.Zones{
-		Part:  1 / float64(b.roster.Len()),
-		Count: 1,
+	return b.alone.Ask(boot.Now(), r, amount, b.roster.Len())
+}
+
+// zones is how the instances are spread. Members that were heard and are no more
+// don't count; one that has just started counts those that it hasn't heard yet,
+// since all may have started. The lock is held.
+func (b *belief) zones(now time.Duration) meter.Zones {
+	term := max(hearTerm, loadTerms*b.loadPeriod())
+	return b.roster.Zones(b.gateway.settings.Zones, func(a instance.Address) bool {
+		at, ok := b.heard[a]
+		if !ok {
+			return now < b.started+memberTerm
+		}
+		return now < at+term
 	})
 }
 
@@ -234,8 +253,9 @@
 func (g *Gateway) tellWants() {
 	b := g.belief
 	to := map[instance.Address][]meter.Want{}
+	now := boot.Now()
 	b.look(func() {
-		for _, w := range b.rates.Wants(boot.Now(), b.rateOf, b.role, b.roster.Zones(g.settings.Zones)) {
+		for _, w := range b.rates.Wants(now, b.rateOf, b.role, b.zones(now)) {
 			for _, envoy := range b.roster.Envoys(rate.String(), w.Organisation, b.quiet) {
 				to[envoy] = append(to[envoy], w)
 			}
@@ -257,7 +277,7 @@
 	elsewhere := map[instance.Address][]meter.Want{}
 	var lent []meter.Offer
 	b.look(func() {
-		zones := b.roster.Zones(g.settings.Zones)
+		zones := b.zones(boot.Now())
 		for _, w := range m.List {
 			keeper := b.roster.Keeper(rate.String(), w.Organisation, b.quiet)
 			if m.Pass && keeper != g.self.Address {
@@ -289,10 +309,11 @@
 // hearOffers takes in what another zone lends.
 func (g *Gateway) hearOffers(m offers) {
 	b := g.belief
+	now := boot.Now()
 	b.look(func() {
 		for _, o := range m.List {
 			if r, ok := b.rateOf(o.Organisation); ok {
-				b.rates.Borrow(boot.Now(), r, o, b.roster.Zones(g.settings.Zones))
+				b.rates.Borrow(now, r, o, b.zones(now))
 			}
 		}
 	})
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -51,8 +51,8 @@
 	index    *document.Index
 	services map[string]*service
 	rates    *meter.Rates
-	// own stands in for a keeper that can't be reached.
-	own    *meter.Rates
+	// alone decides while no keeper can be reached.
+	alone  *meter.Alone
 	budget *meter.Budget
 	tally  *quarantine.Tally
 	// silent are instances that didn't answer an ask, and stale those that don't
@@ -61,6 +61,11 @@
 	silent  map[instance.Address]time.Duration
 	stale   map[instance.Address]time.Duration
 	changed chan struct{}
+	// heard is when other instances last sent a datagram, and toldLoads when this
+	// one last told its loads.
+	heard     map[instance.Address]time.Duration
+	toldLoads time.Duration
+	started   time.Duration
 }
 
 // member is another instance as it registered.
@@ -86,7 +91,7 @@
 		roster:   roster.New(g.self, nil),
 		services: map[string]*service{},
 		rates:    meter.NewRates(g.settings.Zone, g.settings.RateTolerance),
-		own:      meter.NewRates(g.settings.Zone, meter.Tolerance{}),
+		alone:    meter.NewAlone(),
 		budget: meter.NewBudget(meter.BudgetSettings{
 			Ratio:   g.settings.RetryRatio,
 			Minimum: g.settings.RetryMinimum,
@@ -96,6 +101,8 @@
 		silent:  map[instance.Address]time.Duration{},
 		stale:   map[instance.Address]time.Duration{},
 		changed: make(chan struct{}),
+		heard:   map[instance.Address]time.Duration{},
+		started: boot.Now(),
 	}
 }
 
@@ -293,6 +300,10 @@
 	if changed {
 		b.reroster()
 	}
+	maps.DeleteFunc(b.heard, func(a instance.Address, at time.Duration) bool {
+		_, member := b.members[a]
+		return !member && now >= at+memberTerm
+	})
 	for _, passedOver := range []map[instance.Address]time.Duration{b.silent, b.stale} {
 		maps.DeleteFunc(passedOver, func(_ instance.Address, until time.Duration) bool { return now >= until })
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -25,6 +25,8 @@
 	loadPeriodPerMember = 8 * time.Millisecond
 	// loadTerms is for how many periods a report counts: one may be lost.
 	loadTerms = 3
+	// quietPeriod is the longest time between two reports.
+	quietPeriod = 300 * time.Millisecond
 	// noTargetRetry is when callers of a service without targets come back.
 	noTargetRetry = time.Second
 )
@@ -222,20 +224,26 @@
 	}
 }
 
-// tellLoads tells the zone what this instance has running at targets.
-func (g *Gateway) tellLoads() {
+// tellLoads tells the zone what this instance has running at targets, and now and
+// then that it has nothing running, so that the others know that they hear it.
+func (g *Gateway) tellLoads(now time.Duration) {
 	var m loads
-	g.belief.look(func() {
-		for _, name := range slices.Sorted(maps.Keys(g.belief.services)) {
-			for _, l := range g.belief.services[name].table.Loads() {
+	b := g.belief
+	due := false
+	b.look(func() {
+		for _, name := range slices.Sorted(maps.Keys(b.services)) {
+			for _, l := range b.services[name].table.Loads() {
 				m.List = append(m.List, load{
 					Service: name,
 					Load:    l,
 				})
 			}
 		}
+		if due = len(m.List) > 0 || now >= b.toldLoads+quietPeriod; due {
+			b.toldLoads = now
+		}
 	})
-	if len(m.List) > 0 {
+	if due {
 		g.tellZone(m)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,7 +254,7 @@
 		}
 		if now := boot.Now(); now >= loadsDue {
 			g.belief.look(func() { loadsDue = now + g.belief.loadPeriod() - tickPeriod/2 })
-			g.tellLoads()
+			g.tellLoads(now)
 		}
 	}
 }
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/instance"
 )
 
@@ -67,6 +68,7 @@
 
 // handle takes one datagram in.
 func (g *Gateway) handle(from instance.Address, m message) {
+	g.belief.look(func() { g.belief.heard[from] = boot.Now() })
 	switch m := m.(type) {
 	case ask:
 		g.hearAsk(from, m)
--- /dev/null
+++ b/pkg/meter/alone.go
@@ -0,0 +1,71 @@
+package meter
+
+import (
+	"time"
+
+	"dandelionmux/pkg/document"
+)
+
+// hotTerm is for how long after a keeper's refusal an organisation counts as over
+// its rate: a span of the platform's quotas.
+const hotTerm = 5 * time.Second
+
+// Alone gives out one instance's even part of the rates while it reaches no keeper.
+// An organisation that was over its rate until then gets nothing as long as it asks
+// for more than that part: its rate may be given out elsewhere to the last unit.
+// Its methods must not be called at the same time.
+type Alone struct {
+	rates *Rates
+	hot   map[string]*hot
+}
+
+// hot is an organisation over its rate.
+type hot struct {
+	// at is when it was last seen over its rate.
+	at     time.Duration
+	demand *Window
+}
+
+// NewAlone returns one that knows of no refusal.
+func NewAlone() *Alone {
+	return &Alone{
+		rates: NewRates("", Tolerance{}),
+		hot:   map[string]*hot{},
+	}
+}
+
+// Saw takes in a keeper's verdict.
+func (a *Alone) Saw(now time.Duration, organisation string, granted bool) {
+	if granted {
+		return
+	}
+	h := a.hot[organisation]
+	if h == nil {
+		h = &hot{
+			demand: NewWindow(demandSpan),
+		}
+		a.hot[organisation] = h
+	}
+	h.at = now
+}
+
+// Ask decides on a request as one of so many members.
+func (a *Alone) Ask(now time.Duration, rate document.Rate, cost, members int) Verdict {
+	part := 1 / float64(max(members, 1))
+	if h := a.hot[rate.Organisation]; h != nil {
+		h.demand.Add(now, float64(cost))
+		if h.demand.Sum(now) > max(rate.PerSecond*part*demandSpan.Seconds(), 1) {
+			h.at = max(h.at, now-hotTerm+demandSpan)
+		}
+		if now < h.at+hotTerm {
+			return Verdict{
+				RetryAfter: max(h.at+hotTerm-now, waitLeast),
+			}
+		}
+		delete(a.hot, rate.Organisation)
+	}
+	return a.rates.Ask(now, rate, cost, StandIn, Zones{
+		Part:  part,
+		Count: 1,
+	})
+}
--- /dev/null
+++ b/pkg/meter/alone_test.go
@@ -0,0 +1,62 @@
+package meter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/pkg/meter"
+)
+
+// A hot organisation calls 32 instances. Then a third of them reach no keeper, as
+// when their machines are cut off from all others, or their zone's stand-in is.
+func TestRateHoldsWithCutOffInstances(t *testing.T) {
+	for _, perSecond := range []float64{5, 13, 30, 48} {
+		is := is.New(t)
+		f := newFleet(someRate(perSecond))
+		f.keeper = new(int)
+		const instances, cutOff = 32, 11
+		const cut = 10 * time.Second
+		alone := make([]*meter.Alone, instances)
+		for i := range alone {
+			alone[i] = meter.NewAlone()
+		}
+		for n := 0; n < 20*instances*10; n++ {
+			now := time.Second + time.Duration(n)*time.Second/(10*instances)
+			a := alone[n%instances]
+			if n%instances < cutOff && now >= cut {
+				if a.Ask(now, f.rate, 1, instances).Granted {
+					f.given = append(f.given, now)
+				}
+				continue
+			}
+			a.Saw(now, f.rate.Organisation, f.ask(now, 0).Granted)
+			if n%(3*instances) == 0 {
+				f.exchange(now)
+			}
+		}
+		t.Logf("%g a second: %d in a span, %.1f allowed", perSecond, f.most(), bound(f.rate))
+		is.True(float64(f.most()) <= bound(f.rate))
+	}
+}
+
+// An organisation within its rate goes on being served where no keeper is reached.
+func TestCalmOrganisationIsServedWithoutAKeeper(t *testing.T) {
+	is := is.New(t)
+	a := meter.NewAlone()
+	rate := someRate(64)
+	a.Saw(time.Second, rate.Organisation, true)
+	refused := 0
+	for i := range 10 {
+		if !a.Ask(2*time.Second+time.Duration(i)*time.Second, rate, 1, 32).Granted {
+			refused++
+		}
+	}
+	is.Equal(refused, 0)
+	// After a refusal it gets nothing for a while, and then its part again.
+	a.Saw(20*time.Second, rate.Organisation, false)
+	v := a.Ask(21*time.Second, rate, 1, 32)
+	is.True(!v.Granted)
+	is.True(a.Ask(21*time.Second+v.RetryAfter, rate, 1, 32).Granted)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -67,10 +67,17 @@
 func (r *Roster) Own() []instance.Info { return r.zones[r.self.Zone] }
 
 // Zones is how the instances are spread, given the number of zones that there
-// should be.
-func (r *Roster) Zones(count int) meter.Zones {
+// should be. Only members of the zone that are heard make up its part: others may
+// be cut off with a part of the zone, and count there.
+func (r *Roster) Zones(count int, heard func(instance.Address) bool) meter.Zones {
+	near := 0
+	for _, m := range r.Own() {
+		if m.Address == r.self.Address || heard(m.Address) {
+			near++
+		}
+	}
 	return meter.Zones{
-		Part:  float64(len(r.Own())) / float64(r.size),
+		Part:  float64(near) / float64(r.size),
 		Count: max(count, len(r.zones)),
 	}
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -66,6 +66,30 @@
 	is.Equal(len(zones), 3) // the tasks are spread
 }
 
+// A split leaves parts of each zone on both sides: the parts that the two sides give
+// out make up the whole.
+func TestPartsOfASplitFleetMakeUpTheWhole(t *testing.T) {
+	is := is.New(t)
+	all := members(39)
+	left := func(a instance.Address) bool { return a[len(a)-len("0:7000")]%3 == 0 } // by the last digit
+	sum := 0.0
+	for i, zone := range []string{"a", "b", "c"} {
+		for _, side := range []bool{true, false} {
+			self := all[i]
+			for _, m := range all {
+				if m.Zone == zone && left(m.Address) == side {
+					self = m
+				}
+			}
+			if left(self.Address) != side {
+				continue // nobody of the zone is there
+			}
+			sum += roster.New(self, all).Zones(3, func(a instance.Address) bool { return left(a) == side }).Part
+		}
+	}
+	is.True(sum > 0.999 && sum < 1.001)
+}
+
 func TestSilentKeeperIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	all := members(39)
@@ -110,5 +134,5 @@
 	is.Equal(r.Keeper("rate", "orchard", nobody), self.Address)
 	is.Equal(r.Readers()[0].Address, self.Address)
 	is.Equal(len(r.Envoys("rate", "orchard", nobody)), 0)
-	is.Equal(r.Zones(3).Count, 3)
+	is.Equal(r.Zones(3, nobody).Count, 3)
 }
