--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -3,9 +3,10 @@
 //
 // It joins the traffic path of package entry with decisions of pkg/ that need
 // no disk and no rights of their own: one instance of each zone reads the store
-// and the others copy its mirror (pkg/mirror, pkg/roster); rates and retry
-// budgets are kept a zone at a time (pkg/meter); the first failure of a target
-// is told to all (pkg/outlier). Package daemon runs the fleet where there is an
+// and the others copy its mirror (pkg/mirror, pkg/roster); one instance keeps an
+// organisation's rate for the fleet, and one in each zone a service's retry budget
+// (pkg/meter); the first failure of a target is told to all, and what runs at it to
+// the zone (pkg/outlier). Package daemon runs the fleet where there is an
 // instance list and the rights are shared among the instances.
 //
 // What differs between deployments comes in as Adapters.
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -53,17 +53,18 @@
 	waitMost  = 5 * time.Second
 )
 
-// Rates keeps one zone's part of the organisations' rates. Its methods must not
-// be called at the same time.
+// Rates keeps organisations' rates as one instance: its zone's part, and what it
+// borrows of the other zones' parts. Its methods must not be called at the same
+// time.
 type Rates struct {
 	zone      string
 	tolerance Tolerance
 	buckets   map[string]*bucket
 }
 
-// Tolerance is what the fleet may give out beyond an organisation's rate: in any
-// Span at most the rate's units and the burst, and these times Ratio and Units
-// more.
+// Tolerance is what the fleet may give out beyond an organisation's rate. Let A be
+// the rate's units in a Span and the burst; in any Span it is A·(1 + Ratio) + Units
+// in all.
 type Tolerance struct {
 	Ratio float64
 	Units float64
@@ -90,7 +91,7 @@
 	return t.most(r) / t.Span.Seconds()
 }
 
-// bucket is a zone's part of one organisation's rate.
+// bucket is what the instance has of one organisation's rate.
 type bucket struct {
 	level  float64
 	filled time.Duration
@@ -130,7 +131,8 @@
 
 // Zones is how the instances are spread.
 type Zones struct {
-	// Part is this zone's part of all instances, from 0 to 1.
+	// Part is this zone's part of all instances, from 0 to 1, without those of the
+	// zone that may be cut off from this instance.
 	Part float64
 	// Count is the number of zones.
 	Count int
@@ -191,7 +193,7 @@
 	Sent time.Duration
 }
 
-// NewRates returns the meter of a zone.
+// NewRates returns the rates of an instance in a zone.
 func NewRates(zone string, t Tolerance) *Rates {
 	return &Rates{
 		zone:      zone,
