Sort only what changed for a follower of the mirror

Each follower asks its reader twice a second and at each change, and each time all entries were copied and sorted under the belief's lock before those that had changed were picked. The same entries in the same order; Prefixed, which only this used, is gone, and the test counts the keys by Since(0).

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -83,19 +83,6 @@
 	return e, ok
 }
 
-// Prefixed returns all entries whose keys begin with the prefix, in order of
-// their keys.
-func (m *Mirror) Prefixed(prefix string) []store.Entry {
-	var list []store.Entry
-	for key, e := range m.entries {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list
-}
-
 // List takes in all entries as of the counter, and returns those that changed.
 // A list older than the mirror is ignored.
 func (m *Mirror) List(entries []store.Entry, counter int64) []store.Entry {
@@ -246,11 +233,12 @@
 		return d
 	}
 	d.Whole = counter < m.known || counter == 0
-	for _, e := range m.Prefixed("") {
+	for _, e := range m.entries {
 		if d.Whole || e.Version > counter {
 			d.Entries = append(d.Entries, e)
 		}
 	}
+	slices.SortFunc(d.Entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	if d.Whole {
 		return d
 	}
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -102,7 +102,7 @@
 }
 
 func same(s *model, m *mirror.Mirror) error {
-	if got := len(m.Prefixed("")); got != len(s.entries) {
+	if got := len(m.Since(0).Entries); got != len(s.entries) {
 		return fmt.Errorf("%d keys, want %d", got, len(s.entries))
 	}
 	for key, version := range s.entries {
@@ -164,3 +164,25 @@
 	is.Equal(len(follower.Apply(reader.Since(follower.Counter()))), 0)
 	is.Equal(follower.Counter(), int64(6))
 }
+
+// BenchmarkSince is what a follower costs its reader that asks after one change, in
+// a mirror of 3,000 targets.
+func BenchmarkSince(b *testing.B) {
+	m := mirror.New()
+	const targets = 3000
+	entries := make([]store.Entry, targets)
+	for i := range entries {
+		entries[i] = store.Entry{
+			Key:     fmt.Sprintf("targets/desk-%04d", i*7919%targets),
+			Version: int64(i + 1),
+		}
+	}
+	m.List(entries, targets)
+	m.Change([]store.Entry{{Key: entries[0].Key, Version: targets + 1}}, targets+1)
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := len(m.Since(targets).Entries); got != 1 {
+			b.Fatalf("%d entries", got)
+		}
+	}
+}
