Say the same with less: one ranking, one loan, one place for the loads' state

When loads are due is kept beside when they were told, not in the tick. A comment of Tolerance.most said zero where the function isn't asked. No behaviour changes; the tests are as they were.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -181,18 +181,16 @@
 	return x.admit(ctx)
 }
 
-// attemptContext leaves time for a second attempt where one is allowed, and
-// ends with the permit.
-// Where the slot knows how long an answer takes, moveAfter does that instead.
+// attemptContext leaves time for a second attempt where one is allowed, and ends
+// with the permit. Where the slot knows how long an answer takes, moveAfter leaves
+// the time instead.
 func (x *exchange) attemptContext(ctx context.Context, n int, patience time.Duration) (context.Context, context.CancelFunc) {
 	limit := x.deadline
-	switch {
-	case !x.repeatable || patience > 0:
-	case n == 1:
+	if x.repeatable && patience <= 0 && n == 1 {
 		limit = time.Now().Add(time.Until(limit) * firstAttemptPercent / 100)
 	}
-	if until := x.permit.Until(); !until.IsZero() {
-		limit = earlier(limit, until)
+	if until := x.permit.Until(); !until.IsZero() && until.Before(limit) {
+		limit = until
 	}
 	return context.WithDeadline(ctx, limit)
 }
@@ -220,13 +218,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // attemptID is the id that the target echoes.
 func (x *exchange) attemptID(n int) string {
 	if x.handler.dialect.CallerIDs {
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -61,11 +61,13 @@
 	silent  map[instance.Address]time.Duration
 	stale   map[instance.Address]time.Duration
 	changed chan struct{}
-	// heard is when other instances last sent a datagram, and toldLoads when this
-	// one last told its loads.
-	heard     map[instance.Address]time.Duration
+	// heard is when other instances last sent a datagram.
+	heard   map[instance.Address]time.Duration
+	started time.Duration
+	// loadsDue is when this one looks next whether to tell its loads, and toldLoads
+	// when it last did.
+	loadsDue  time.Duration
 	toldLoads time.Duration
-	started   time.Duration
 }
 
 // member is another instance as it registered.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -224,15 +222,20 @@
 	}
 }
 
-// tellLoads tells the zone what this instance has running at targets, and now and
-// then that it has nothing running, so that the others know that they hear it.
+// tellLoads tells the zone, once a period, what this instance has running at
+// targets, and now and then that it has nothing running, so that the others know
+// that they hear it.
 func (g *Gateway) tellLoads(now time.Duration) {
 	var m loads
 	b := g.belief
 	due := false
 	b.look(func() {
-		for _, name := range slices.Sorted(maps.Keys(b.services)) {
-			for _, l := range b.services[name].table.Loads() {
+		if now < b.loadsDue {
+			return
+		}
+		b.loadsDue = now + b.loadPeriod() - tickPeriod/2
+		for name, s := range b.services {
+			for _, l := range s.table.Loads() {
 				m.List = append(m.List, load{
 					Service: name,
 					Load:    l,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,7 +241,6 @@
 func (g *Gateway) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	loadsDue := boot.Now()
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -252,10 +251,7 @@
 		if n%wantTicks == 0 {
 			g.tellWants()
 		}
-		if now := boot.Now(); now >= loadsDue {
-			g.belief.look(func() { loadsDue = now + g.belief.loadPeriod() - tickPeriod/2 })
-			g.tellLoads(now)
-		}
+		g.tellLoads(boot.Now())
 	}
 }
 
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -74,7 +74,7 @@
 
 // most is how many units are given out in a span: what the rate and the burst
 // allow, and of what is tolerated all but what a second keeper that starts afresh
-// would give out. Zero where no span is set.
+// would give out. It is asked for only where a span is set.
 func (t Tolerance) most(r document.Rate) float64 {
 	span := t.Span.Seconds()
 	allowed := r.PerSecond*span + float64(r.Burst)
@@ -351,18 +351,14 @@
 	kept = max(kept, r.wanted(b, now, rate))
 	spare := own - kept - lent
 	offered := min(spare, w.Part)
-	held, ok := b.lent[w.Zone]
 	if offered <= 0 {
 		return Offer{}, false
 	}
-	if ok {
-		// The other zone may still use the earlier offer.
-		held.part = max(held.part, offered)
-	} else {
-		held.part = offered
+	b.lent[w.Zone] = loan{
+		// The other zone may still use an earlier offer.
+		part:  max(b.lent[w.Zone].part, offered),
+		until: now + loanTerm + loanSlack,
 	}
-	held.until = now + loanTerm + loanSlack
-	b.lent[w.Zone] = held
 	return Offer{
 		Organisation: rate.Organisation,
 		Zone:         r.zone,
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -108,17 +109,13 @@
 		if s == nil || s.Address != r.Target.Address {
 			s = &state{}
 		}
+		maps.DeleteFunc(s.others, func(_ string, h heard) bool { return now >= h.until })
 		s.Target = r.Target
 		s.warmUntil = now + r.Warming
 		t.targets[r.Target.Name] = s
 		t.order = append(t.order, s)
 	}
-	slices.SortFunc(t.order, func(a, b *state) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(t.order, func(a, b *state) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // Choose picks a target and counts the request there until Done. It reports
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -28,9 +28,10 @@
 // Roster is the fleet as one instance knows it. It is never changed.
 type Roster struct {
 	self instance.Info
-	// zones holds the members of each zone in the order of their addresses.
-	zones map[string][]instance.Info
-	size  int
+	// members holds all in the order of their addresses, and zones those of each
+	// zone.
+	members []instance.Info
+	zones   map[string][]instance.Info
 }
 
 // New returns the roster of the members. Self is one only if it is among them: to
@@ -41,27 +42,21 @@
 		self:  self,
 		zones: map[string][]instance.Info{},
 	}
-	for _, m := range members {
-		r.add(m)
-	}
-	if len(r.zones[self.Zone]) == 0 {
-		r.add(self)
+	r.members = slices.Clone(members)
+	if !slices.ContainsFunc(members, func(m instance.Info) bool { return m.Zone == self.Zone }) {
+		r.members = append(r.members, self)
 	}
-	for _, list := range r.zones {
-		slices.SortFunc(list, func(a, b instance.Info) int {
-			return strings.Compare(string(a.Address), string(b.Address))
-		})
+	slices.SortFunc(r.members, func(a, b instance.Info) int {
+		return strings.Compare(string(a.Address), string(b.Address))
+	})
+	for _, m := range r.members {
+		r.zones[m.Zone] = append(r.zones[m.Zone], m)
 	}
 	return r
 }
 
-func (r *Roster) add(m instance.Info) {
-	r.zones[m.Zone] = append(r.zones[m.Zone], m)
-	r.size++
-}
-
 // Len is the number of members.
-func (r *Roster) Len() int { return r.size }
+func (r *Roster) Len() int { return len(r.members) }
 
 // Own returns the members of the instance's zone.
 func (r *Roster) Own() []instance.Info { return r.zones[r.self.Zone] }
@@ -77,7 +72,7 @@
 		}
 	}
 	return meter.Zones{
-		Part:  float64(near) / float64(r.size),
+		Part:  float64(near) / float64(len(r.members)),
 		Count: max(count, len(r.zones)),
 	}
 }
@@ -96,18 +91,7 @@
 // FleetKeeper is the member that keeps for the whole fleet what has the kind and
 // name. In its own zone it is also the Keeper.
 func (r *Roster) FleetKeeper(kind, name string) instance.Address {
-	var best instance.Address
-	var bestScore uint64
-	k := key(kind, name)
-	for _, members := range r.zones {
-		for _, m := range members {
-			score := instance.Score(k, m.Address)
-			if best == "" || score > bestScore || score == bestScore && m.Address < best {
-				best, bestScore = m.Address, score
-			}
-		}
-	}
-	return best
+	return first(key(kind, name), r.members, func(instance.Address) bool { return false })
 }
 
 // Envoys are the members of the other zones that keep what has the kind and
