Spread the loads of a busy instance over datagrams that fit

Found in reading: an instance of the users' size has requests at over a hundred targets, about 5 KB of loads in one datagram, and a receiver's buffer takes 2,800 bytes. The rest would be cut off, the datagram refused, and the sender not counted as heard, so its zone's part of the rates would shrink. Test failing without it: TestLoadsOfABusyInstanceFitTheirDatagrams.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,7 +19,7 @@
 // Terms of placing requests.
 const (
 	// loadPeriodPerMember bounds what an instance sends and hears of loads to
-	// 125 datagrams a second, however large its zone.
+	// 125 reports a second, however large its zone.
 	loadPeriodPerMember = 8 * time.Millisecond
 	// loadTerms is for how many periods a report counts: one may be lost.
 	loadTerms = 3
@@ -226,7 +226,7 @@
 // targets, and now and then that it has nothing running, so that the others know
 // that they hear it.
 func (g *Gateway) tellLoads(now time.Duration) {
-	var m loads
+	var list []load
 	b := g.belief
 	due := false
 	b.look(func() {
@@ -236,17 +236,20 @@
 		b.loadsDue = now + b.loadPeriod() - tickPeriod/2
 		for name, s := range b.services {
 			for _, l := range s.table.Loads() {
-				m.List = append(m.List, load{
+				list = append(list, load{
 					Service: name,
 					Load:    l,
 				})
 			}
 		}
-		if due = len(m.List) > 0 || now >= b.toldLoads+quietPeriod; due {
+		if due = len(list) > 0 || now >= b.toldLoads+quietPeriod; due {
 			b.toldLoads = now
 		}
 	})
-	if due {
+	if !due {
+		return
+	}
+	for _, m := range split(list) {
 		g.tellZone(m)
 	}
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -75,6 +75,28 @@
 	outlier.Load
 }
 
+// loadOverhead is what a load takes in a datagram beside its names, in bytes: tags,
+// lengths and the count.
+const loadOverhead = 12
+
+// split spreads loads over as many messages as it takes for each to fit a datagram,
+// one at least.
+func split(list []load) []loads {
+	all := []loads{{}}
+	size := loadOverhead
+	for _, l := range list {
+		one := len(l.Service) + len(l.Target) + loadOverhead
+		if size+one > datagramBytes {
+			all = append(all, loads{})
+			size = loadOverhead
+		}
+		last := &all[len(all)-1]
+		last.List = append(last.List, l)
+		size += one
+	}
+	return all
+}
+
 func (ask) message()     {}
 func (verdict) message() {}
 func (failure) message() {}
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,26 @@
 		_, _ = decodeCopied(b)
 	})
 }
+
+// A busy instance has requests at hundreds of targets: each datagram about them must
+// fit, since a longer one is cut off at its receiver and refused.
+func TestLoadsOfABusyInstanceFitTheirDatagrams(t *testing.T) {
+	is := is.New(t)
+	var list []load
+	for i := range 300 {
+		list = append(list, load{
+			Service: "accounts-office-of-the-mill",
+			Load: outlier.Load{
+				Target:  fmt.Sprintf("desk-%03d.central-division.example", i),
+				Running: 6,
+			},
+		})
+	}
+	told := 0
+	for _, m := range split(list) {
+		is.True(len(encode(m)) <= datagramBytes)
+		told += len(m.List)
+	}
+	is.Equal(told, len(list))
+	is.Equal(len(split(nil)), 1) // it says that the instance is there
+}
