--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dandelionmux/internal/programs"
 )
 
 // patience bounds waits for what must happen.
@@ -30,8 +31,8 @@
 // fleets holds a value for each fleet that runs.
 var fleets = make(chan struct{}, fleetsAtOnce)
 
-// programs is where TestMain put the built programs.
-var programs string
+// programsFolder is where TestMain put the built programs.
+var programsFolder string
 
 func TestMain(m *testing.M) {
 	os.Exit(buildAndRun(m))
@@ -43,29 +44,13 @@
 		panic(err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "../../cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if err := programs.Build("../..", folder); err != nil {
 		panic(err)
 	}
-	programs = folder
+	programsFolder = folder
 	return m.Run()
 }
 
-// touchSources looks at all sources of the programs, so that the go command
-// knows that this test's outcome depends on them and doesn't take it from its
-// cache when they have changed. The go command only notices what is looked at
-// while tests run.
-func touchSources(root string) error {
-	return filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || filepath.Ext(path) != ".go" {
-			return err
-		}
-		_, err = os.Stat(path)
-		return err
-	})
-}
-
 // process is a started program.
 type process struct {
 	name    string
@@ -100,7 +85,7 @@
 	is := is.New(t)
 	p := &process{
 		name:    name,
-		command: exec.Command(filepath.Join(programs, name), arguments...),
+		command: exec.Command(filepath.Join(programsFolder, name), arguments...),
 		output:  &lockedBuffer{},
 		ended:   make(chan error, 1),
 	}
@@ -170,7 +155,7 @@
 // run runs a program to its end and returns what it printed.
 func run(t *testing.T, name string, arguments ...string) (string, error) {
 	t.Helper()
-	command := exec.Command(filepath.Join(programs, name), arguments...)
+	command := exec.Command(filepath.Join(programsFolder, name), arguments...)
 	var stdout, stderr bytes.Buffer
 	command.Stdout = &stdout
 	command.Stderr = &stderr
--- a/test/process/world_test.go
+++ b/test/process/world_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dandelionmux/internal/programs"
 )
 
 // Lines that programs print when they are ready.
@@ -63,7 +65,7 @@
 	t.Parallel()
 	fleets <- struct{}{}
 	t.Cleanup(func() { <-fleets })
-	is.New(t).NoErr(touchSources("../.."))
+	is.New(t).NoErr(programs.Touch("../.."))
 	f := &fleet{
 		t:      t,
 		folder: t.TempDir(),
