Tell new from reused connections in the log and counters, and name the metrics address

'target seen' has Reused and Rested, Target.Died.new and .reused count all such attempts, and Targets.SERVICE.* give a service's targets by state.

--- a/cmd/dandelionmux/main.go
+++ b/cmd/dandelionmux/main.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	dandelionmux serve -settings FILE
-//	dandelionmux platform
+//	dandelionmux platform [-metrics-port PORT]
 //	dandelionmux demo [-keep] [-logs]
 //	dandelionmux check -settings FILE
 //	dandelionmux version
@@ -69,7 +69,7 @@
 	case "serve":
 		return serve(rest, stdout, stderr)
 	case "platform":
-		return runPlatform(stdout, stderr)
+		return runPlatform(rest, stdout, stderr)
 	case "demo":
 		return runDemo(rest, stdout, stderr)
 	case "check":
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -306,6 +306,8 @@
 		failure := p.classifyFailure(ctx, r.Err)
 		p.release(AttemptResult{
 			Outcome: failure.outcome,
+			Reused:  r.Err.Reused,
+			Rested:  r.Err.Rested,
 		})
 		return failure
 	}
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -93,6 +93,10 @@
 	// Latency is the time from the start of the attempt to the end of its
 	// answer.
 	Latency time.Duration
+	// Reused is set if the attempt got no answer and its connection had served an
+	// earlier attempt. Rested is then how long the connection had been idle.
+	Reused bool
+	Rested time.Duration
 	// Misdirected is set if the answer came from another target at the same
 	// address (status 421).
 	Misdirected bool
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -149,7 +149,11 @@
 	// ContextDone is set if the attempt's context had ended when the attempt
 	// failed: its deadline passed or the caller went away.
 	ContextDone bool
-	cause       error
+	// Reused is set if the attempt's connection had served an earlier attempt. Rested
+	// is then how long it had been idle.
+	Reused bool
+	Rested time.Duration
+	cause  error
 }
 
 // Error implements error.
@@ -165,6 +169,10 @@
 	gate func() error
 	// conn is the connection that the attempt got last; nil before the first.
 	conn atomic.Pointer[conn]
+	// reused and rested describe the connection that the request was sent on, as in
+	// Error. They are written before conn is stored.
+	reused bool
+	rested time.Duration
 	// sent is set before the first byte is written.
 	sent atomic.Bool
 	// gateErr is the error that the gate returned, if it did.
@@ -182,6 +190,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			assigned := info.Conn.(*conn)
 			assigned.assign(s)
+			if !s.sent.Load() { // net/http tries another connection after a reset
+				s.reused, s.rested = info.Reused, info.IdleTime
+			}
 			s.conn.Store(assigned)
 		},
 	}
@@ -215,6 +226,7 @@
 		return failure
 	}
 	assigned.seal()
+	failure.Reused, failure.Rested = s.reused, s.rested
 	switch {
 	case s.sent.Load():
 		failure.Stage = Sent
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -174,6 +174,7 @@
 					is.Equal(b.requests.Load()-before, int64(1)) // sent once
 					if f, ok := result.(forward.Failed); ok {
 						is.Equal(f.Err.Stage, forward.Sent)
+						is.Equal(f.Err.Reused, warm)
 					}
 				})
 			}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -171,7 +171,9 @@
 		}
 	})
 	if notify {
-		g.reportFailure(sl.service, sl.target.Name, target.TimedOut)
+		g.reportFailure(sl.service, sl.target.Name, entry.AttemptResult{
+			Outcome: target.TimedOut,
+		})
 	}
 }
 
@@ -200,24 +202,38 @@
 			s.latencies.Add(sl.route, e.Latency)
 		}
 	})
+	if e.Outcome == target.Crashed {
+		g.count("Target.Died." + connectionKind(e.Reused))
+	}
 	if notify {
-		g.reportFailure(sl.service, sl.target.Name, outcome)
+		e.Outcome = outcome
+		g.reportFailure(sl.service, sl.target.Name, e)
+	}
+}
+
+// connectionKind names a new or a reused connection in counters.
+func connectionKind(reused bool) string {
+	if reused {
+		return "reused"
 	}
+	return "new"
 }
 
-// reportFailure reports a failure of a target to all instances: directly to those of
-// the own zone, and to one of each other zone, which forwards it.
-func (g *Gateway) reportFailure(service, targetName string, outcome target.Outcome) {
+// reportFailure reports a failed attempt at a target to all instances: directly to those
+// of the own zone, and to one of each other zone, which forwards it.
+func (g *Gateway) reportFailure(service, targetName string, e entry.AttemptResult) {
 	m := failureReport{
 		Service: service,
 		Target:  targetName,
-		Outcome: outcome,
+		Outcome: e.Outcome,
 	}
 	g.logger.Info("target seen",
 		slog.String("Service", service),
 		slog.String("Target", targetName),
-		slog.String("Outcome", outcome.String()))
-	g.count("Target.Told." + outcome.String())
+		slog.String("Outcome", e.Outcome.String()),
+		slog.Bool("Reused", e.Reused),
+		slog.Duration("Rested", e.Rested))
+	g.count("Target.Told." + e.Outcome.String())
 	g.sendToZone(m)
 	// The text "news" ranks the instances that forward reports to their zone. It is
 	// hashed, so it must be the same on all instances.
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -8,12 +9,15 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionmux/internal/entry"
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/mirror"
@@ -233,12 +237,80 @@
 				registry: metrics.NewRegistry(),
 			}
 			g.state = newLocalState(g)
-			g.reportFailure("desk", "desk-a", tt.outcome)
+			g.reportFailure("desk", "desk-a", entry.AttemptResult{
+				Outcome: tt.outcome,
+			})
 			is.True(g.registry.Get(tt.want) != nil) // counted under its name
 		})
 	}
 }
 
+// Guards against a log and counters that can't tell a failing target from a kept
+// connection that the target had dropped.
+func TestFailuresTellNewFromReusedConnections(t *testing.T) {
+	tests := []struct {
+		name   string
+		result entry.AttemptResult
+		metric string
+		line   string
+	}{
+		{
+			name: "new connection",
+			result: entry.AttemptResult{
+				Outcome: target.Crashed,
+			},
+			metric: "Target.Died.new",
+			line:   "Outcome=crashed Reused=false Rested=0s",
+		},
+		{
+			name: "reused connection",
+			result: entry.AttemptResult{
+				Outcome: target.Crashed,
+				Reused:  true,
+				Rested:  400 * time.Millisecond,
+			},
+			metric: "Target.Died.reused",
+			line:   "Outcome=crashed Reused=true Rested=400ms",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var log bytes.Buffer
+			g := &Gateway{
+				logger:   slog.New(slog.NewTextHandler(&log, nil)),
+				registry: metrics.NewRegistry(),
+			}
+			g.state = newLocalState(g)
+			table := outlier.New("a", newRandom())
+			table.Update(0, []target.Registration{
+				{
+					Target: document.Target{
+						Name:  "desk-a",
+						Slots: 1,
+					},
+				},
+			})
+			g.state.services["desk"] = &service{
+				name:      "desk",
+				table:     table,
+				latencies: outlier.NewLatencies(),
+			}
+			sl := &slot{
+				gateway: g,
+				service: "desk",
+				target: document.Target{
+					Name: "desk-a",
+				},
+				timer: time.NewTimer(time.Hour),
+			}
+			sl.Release(tt.result)
+			is.True(g.registry.Get(tt.metric) != nil)
+			is.True(strings.Contains(log.String(), tt.line))
+		})
+	}
+}
+
 func TestMirrorIsCopiedInAFixedForm(t *testing.T) {
 	is := is.New(t)
 	const sent = "0807100118e8072001" + "2a0a0a016b12017618052000" + "2a090a016c120018002006"
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -224,7 +224,7 @@
 	f := newTestFleet(t, 1, 1)
 	is.Equal(f.call(f.instances[0], "/one/1", "key-1"), http.StatusOK)
 	content := f.metrics(f.instances[0])
-	for _, name := range []string{"Configuration.AgeMs ", "Entry.Answered.2xx 1\n", "Store.Answered.store.List "} {
+	for _, name := range []string{"Configuration.AgeMs ", "Entry.Answered.2xx 1\n", "Store.Answered.store.List ", "Targets.desk.Healthy ", "Targets.desk.Unavailable 0\n"} {
 		is.True(strings.Contains(content, name))
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -296,6 +297,26 @@
 	}
 }
 
+// serviceCounts holds the number of a service's targets by state.
+type serviceCounts struct {
+	service string
+	outlier.Counts
+}
+
+// targetCounts returns the counts of all services, sorted by name.
+func (st *localState) targetCounts(now time.Duration) []serviceCounts {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var all []serviceCounts
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		all = append(all, serviceCounts{
+			service: name,
+			Counts:  st.services[name].table.Counts(now),
+		})
+	}
+	return all
+}
+
 // expire drops targets and members that did not register again after a store outage,
 // exclusions that have ended, and the datagram times of instances that are no members.
 func (st *localState) expire(now time.Duration) {
