--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -354,11 +354,18 @@
 	}, nil
 }
 
-// call sends a request to an instance and returns the status, or zero if there was no
+// call sends a GET request to an instance and returns the status, or zero if there was no
 // answer.
 func (f *testFleet) call(g *gateway.Gateway, path, key string) int {
 	f.t.Helper()
-	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://"+g.EntryAddress()+path, nil)
+	return f.send(g, http.MethodGet, path, key)
+}
+
+// send sends a request to an instance and returns the status, or zero if there was no
+// answer.
+func (f *testFleet) send(g *gateway.Gateway, method, path, key string) int {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+g.EntryAddress()+path, nil)
 	is.New(f.t).NoErr(err)
 	r.Header.Set("Authorization", "Bearer "+key)
 	response, err := http.DefaultClient.Do(r)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,6 +229,38 @@
 	}
 }
 
+// Guards against targets that are ejected by all instances because they dropped idle
+// connections, and against requests that are lost on such connections.
+func TestDroppedIdleConnectionsLeaveTargetsInUse(t *testing.T) {
+	const requests = 20 // to each instance
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(t, 2, 4)
+			sendAll := func() (failed int) {
+				for range requests {
+					for _, g := range f.instances {
+						if f.send(g, method, "/one/1", "key-1") != http.StatusOK {
+							failed++
+						}
+					}
+				}
+				return failed
+			}
+			is.Equal(sendAll(), 0)
+			for _, s := range f.targets {
+				s.SetFaults(standin.TargetFaults{
+					Death: standin.DeathReused,
+				})
+			}
+			is.Equal(sendAll(), 0)
+			for _, g := range f.instances {
+				is.True(strings.Contains(f.metrics(g), "Targets.desk.Healthy 4\n"))
+			}
+		})
+	}
+}
+
 // The id of a failed request must be enough to find the cause of the failure in the
 // logs of all instances.
 func TestLogsExplainFailedRequest(t *testing.T) {
--- a/internal/standin/format_internal_test.go
+++ b/internal/standin/format_internal_test.go
@@ -107,7 +107,7 @@
 		`"Counts":{"Arrived":1,"Executed":2,"Shed":3,"Probes":4,"Crashes":5,"Cancelled":6,"KeysSeen":7,"WithoutRequestID":8,"MostRunning":9}}`)
 	is := is.New(t)
 	is.Equal([]Truncation{TruncateLength, TruncateChunk}, []Truncation{"length", "chunk"})
-	is.Equal([]Death{DeathBefore, DeathDuring, DeathAfter}, []Death{"before", "during", "after"})
+	is.Equal([]Death{DeathBefore, DeathDuring, DeathAfter, DeathReused}, []Death{"before", "during", "after", "reused"})
 }
 
 func TestReportsHaveFixedNames(t *testing.T) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -160,6 +161,29 @@
 	}
 }
 
+func TestTargetDropsReusedConnections(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t)
+	target.SetFaults(standin.TargetFaults{
+		Death: standin.DeathReused,
+	})
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	post := func() error {
+		answer, err := client.Post("http://"+target.Address()+"/x", "", nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, answer.Body) // so that the connection is reused
+		return errors.Join(err, answer.Body.Close())
+	}
+	is.NoErr(post())
+	is.True(post() != nil) // on the connection of the first
+	is.NoErr(post())
+	is.Equal(target.Counts().Executed, uint64(2))
+}
+
 // The health endpoint can report a failing target as healthy and a working one
 // as unhealthy.
 func TestHealthCanDifferFromWork(t *testing.T) {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -117,6 +117,9 @@
 	DeathDuring Death = "during"
 	// DeathAfter breaks it after the execution, before the answer.
 	DeathAfter Death = "after"
+	// DeathReused breaks a connection that has already served a request, before the
+	// next one is executed. Requests on new connections are served.
+	DeathReused Death = "reused"
 )
 
 // TargetCounts holds a target's counters.
--- a/internal/standin/target_server.go
+++ b/internal/standin/target_server.go
@@ -104,6 +104,7 @@
 		Handler:           s.Target,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog:          discardLogger(),
+		ConnContext:       withServedCount,
 	}
 	server := s.server
 	go func() { _ = server.Serve(listener) }()
--- a/internal/standin/target_work.go
+++ b/internal/standin/target_work.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,7 +53,8 @@
 // arrives.
 func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
 	f := t.recordArrival(r)
-	if f.Death == DeathBefore {
+	reused := onReusedConnection(r)
+	if f.Death == DeathBefore || f.Death == DeathReused && reused {
 		panic(http.ErrAbortHandler)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maximumTargetBody))
@@ -90,6 +93,23 @@
 	t.answer(w, r, f, fails, len(body))
 }
 
+// servedKey is the context key of the number of requests that a connection has served,
+// an *atomic.Int64.
+type servedKey struct{}
+
+// withServedCount is an http.Server's ConnContext that counts the requests of each
+// connection.
+func withServedCount(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, servedKey{}, &atomic.Int64{})
+}
+
+// onReusedConnection counts a request, and reports whether its connection has served
+// another one before.
+func onReusedConnection(r *http.Request) bool {
+	served, ok := r.Context().Value(servedKey{}).(*atomic.Int64)
+	return ok && served.Add(1) > 1
+}
+
 // recordArrival counts a request, and checks it for forbidden keys. It returns
 // the current faults.
 func (t *Target) recordArrival(r *http.Request) TargetFaults {
