Don't take a dropped kept connection for a failing target

Cause: targets had dropped idle connections. The next request on one is reset at once, which counted as a crash of the target: reported to all and ejected by all for 3 s, in which the other kept connections to it rested and were lost too. The same request, sent again on other kept connections, was even quarantined as one that crashes targets.

Requests that may not be repeated and retries now get a connection of their own, so that a reset on it is the target's. A kept connection that dies within 250 ms of the request is no evidence: the read is retried elsewhere within the budget, the target goes on probation instead of being ejected, no strike is counted, and the instance uses no kept connections for 10 s.

--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -241,7 +241,7 @@
 	if event.Refused {
 		s.refusedTargets.Store(name, true)
 		changed = true
-	} else if result.Outcome != target.Cancelled {
+	} else if !result.Outcome.Inconclusive() {
 		_, changed = s.refusedTargets.LoadAndDelete(name)
 	}
 	if changed || event.Leaving {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/keepalive"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
 )
@@ -297,7 +298,11 @@
 	result := p.exchange.handler.client.Do(ctx, forward.Attempt{
 		Address: p.slot.Target().Address,
 		Request: p.newRequest(),
-		Gate:    func() error { return p.exchange.checkBeforeSend(ctx) },
+		NewConnection: !p.exchange.handler.mayReuseConnection(keepalive.Request{
+			Repeatable: p.exchange.repeatable,
+			Retry:      p.exchange.sentAttempts > 0,
+		}),
+		Gate: func() error { return p.exchange.checkBeforeSend(ctx) },
 	})
 	switch r := result.(type) {
 	case forward.Answered:
@@ -362,6 +367,12 @@
 		return p.unsentFailure(err)
 	case ctx.Err() != nil:
 		return p.timeoutFailure()
+	case err.Reused && p.exchange.handler.recordDeadConnection(time.Since(p.began)):
+		return failedAttempt{
+			outcome:    target.Disconnected,
+			mayHaveRun: true,
+			refusal:    mayHaveRunRefusal("target-disconnected"),
+		}
 	default:
 		return failedAttempt{
 			outcome:       target.Crashed,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,13 +5,16 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionmux/internal/boot"
 	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/keepalive"
 )
 
 // Limits and defaults of a Handler.
@@ -47,6 +50,9 @@
 	// those of others; sequence numbers them.
 	idPrefix string
 	sequence atomic.Uint64
+
+	keepAliveMu sync.Mutex
+	keepAlive   keepalive.Policy
 }
 
 // Option configures a Handler.
@@ -135,6 +141,21 @@
 	return x
 }
 
+// mayReuseConnection reports whether an attempt may be sent on a kept connection.
+func (h *Handler) mayReuseConnection(r keepalive.Request) bool {
+	h.keepAliveMu.Lock()
+	defer h.keepAliveMu.Unlock()
+	return h.keepAlive.MayReuse(boot.Now(), r)
+}
+
+// recordDeadConnection records that a kept connection died without an answer, and
+// reports whether the target may only have dropped it.
+func (h *Handler) recordDeadConnection(elapsed time.Duration) bool {
+	h.keepAliveMu.Lock()
+	defer h.keepAliveMu.Unlock()
+	return h.keepAlive.RecordDeath(boot.Now(), elapsed)
+}
+
 // requestID returns the caller's own request id if the dialect uses it, otherwise
 // a new unique one.
 func (h *Handler) requestID(r *http.Request) string {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,7 +28,9 @@
 // use.
 type Client struct {
 	transport *http.Transport
-	dialer    net.Dialer
+	// newConnections serves the attempts that need a new connection.
+	newConnections *http.Transport
+	dialer         net.Dialer
 }
 
 // Option configures a Client.
@@ -63,6 +65,8 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.newConnections = c.transport.Clone()
+	c.newConnections.DisableKeepAlives = true
 	return c
 }
 
@@ -88,6 +92,10 @@
 	// Request is the request to send. Do changes it: the host of its URL is
 	// replaced by Address.
 	Request *http.Request
+	// NewConnection sends the request on a connection of its own, which is closed after
+	// the answer. If a reused connection breaks, it can't be told whether the target has
+	// read the request or had dropped the connection before.
+	NewConnection bool
 	// Gate, if set, is called just before the first byte is written. If it
 	// returns an error, nothing is sent and the attempt fails with that error.
 	Gate func() error
@@ -201,7 +209,11 @@
 	out.URL.Host = a.Address
 	// Without GetBody the transport can't resend the body.
 	out.GetBody = nil
-	response, err := c.transport.RoundTrip(out) //nolint:bodyclose // The caller of Do closes it.
+	transport := c.transport
+	if a.NewConnection {
+		transport = c.newConnections
+	}
+	response, err := transport.RoundTrip(out) //nolint:bodyclose // The caller of Do closes it.
 	if err != nil {
 		return Failed{
 			Err: s.classifyFailure(ctx, err),
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -202,7 +202,7 @@
 			s.latencies.Add(sl.route, e.Latency)
 		}
 	})
-	if e.Outcome == target.Crashed {
+	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
 	if notify {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -175,8 +174,9 @@
 		if err != nil {
 			return err
 		}
+		defer func() { _ = answer.Body.Close() }()
 		_, err = io.Copy(io.Discard, answer.Body) // so that the connection is reused
-		return errors.Join(err, answer.Body.Close())
+		return err
 	}
 	is.NoErr(post())
 	is.True(post() != nil) // on the connection of the first
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -9,7 +9,8 @@
 // counts elsewhere as one server error. A refused connection isn't broadcast.
 // After the ejection the target is on probation: it gets repeatable requests
 // first, because a request that may not be repeated is lost if the target is
-// still failing.
+// still failing. A kept connection that dies at once may have been dropped by a healthy
+// target, so it only begins a probation.
 //
 // A server error ejects a target only if a second one follows within two seconds,
 // since some requests fail through no fault of the target. When too few targets
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -62,7 +62,7 @@
 	// peerLoads is the load that other instances reported, by instance.
 	peerLoads map[string]peerLoad
 	// ejectedUntil is the end of the ejection and probationUntil the end of the
-	// probation that follows it. successes counts the successes during the probation.
+	// probation, which follows an ejection or a suspicion. successes counts the successes during the probation.
 	ejectedUntil   time.Duration
 	probationUntil time.Duration
 	successes      int
@@ -315,6 +315,8 @@
 		s.recordSuccess(now)
 	case target.Crashed, target.Truncated:
 		s.eject(now, true)
+	case target.Disconnected:
+		s.suspect(now)
 	case target.Failed, target.TimedOut:
 		// The network link of the other instance may be the cause, so a timeout
 		// there counts no more than one server error.
@@ -341,6 +343,8 @@
 		return !ejected
 	case target.Refused:
 		s.eject(now, true)
+	case target.Disconnected:
+		return s.suspect(now)
 	case target.Shed:
 		s.pausedUntil = now + shedPause
 	}
@@ -369,6 +373,18 @@
 	return true
 }
 
+// suspect puts the target on probation without an ejection, and reports whether it was
+// neither ejected nor on probation before.
+func (s *targetState) suspect(now time.Duration) bool {
+	if now < s.probationUntil {
+		return false
+	}
+	s.lostRequests = false
+	s.successes = 0
+	s.probationUntil = now + probationTime
+	return true
+}
+
 // eject ejects the target and starts its probation anew. A target that has lost
 // requests is still treated as losing them if it is ejected meanwhile for timeouts or
 // server errors.
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// Guards against targets that are out of use because idle connections to them were
+// dropped: they take reads at once, and writes after two successes.
+func TestDroppedConnectionBeginsAProbation(t *testing.T) {
+	is := is.New(t)
+	table := newTable(11)
+	read := outlier.Request{
+		Repeatable: true,
+	}
+	is.True(table.Done(now, "desk-03", target.Disconnected)) // sent to other instances
+	is.True(!table.Done(now, "desk-03", target.Disconnected))
+	is.Equal(table.Counts(now).OnProbation, 1)
+	is.Equal(chosen(table, now, outlier.Request{})["desk-03"], 0)
+	is.True(chosen(table, now, read)["desk-03"] > 0) // and succeeds
+	is.True(chosen(table, now, outlier.Request{})["desk-03"] > 0)
+	is.Equal(table.Counts(now).Healthy, 11)
+}
+
 func TestWhichOutcomesAreSentToOtherInstances(t *testing.T) {
 	is := is.New(t)
 	table := newTable(11)
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -78,7 +78,7 @@
 	n := l.inFlight.Add(-1) + 1
 	limit := loadFloat(&l.limit)
 	switch {
-	case outcome == target.Cancelled:
+	case outcome.Inconclusive():
 		return
 	case outcome == target.Shed:
 		limit *= shedDecrease
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -104,7 +104,7 @@
 		if b.balance() < maxBalance {
 			b.earned[b.newestSlot%windowSlots] += b.percent
 		}
-	case target.Cancelled:
+	case target.Cancelled, target.Disconnected:
 	default:
 		b.consecutiveFailures++
 	}
--- a/pkg/target/format_test.go
+++ b/pkg/target/format_test.go
@@ -26,7 +26,8 @@
 		{target.Shed, 5, "shed"},
 		{target.Refused, 6, "refused"},
 		{target.Cancelled, 7, "cancelled"},
-		{target.Outcome(8), 8, "unknown"},
+		{target.Disconnected, 8, "disconnected"},
+		{target.Outcome(9), 9, "unknown"},
 	}
 	for _, tt := range tests {
 		is := is.New(t)
--- a/pkg/target/outcome.go
+++ b/pkg/target/outcome.go
@@ -24,14 +24,17 @@
 	// Cancelled is an attempt that the caller abandoned; it says nothing about the
 	// target.
 	Cancelled
+	// Disconnected is a kept connection that died as soon as the request was sent. The
+	// target may only have dropped the idle connection, but the request may have run.
+	Disconnected
 )
 
 // outcomeCount is the number of values of Outcome.
-const outcomeCount = int(Cancelled) + 1
+const outcomeCount = int(Disconnected) + 1
 
 var outcomeNames = [outcomeCount]string{
 	"succeeded", "failed", "timed-out", "truncated",
-	"crashed", "shed", "refused", "cancelled",
+	"crashed", "shed", "refused", "cancelled", "disconnected",
 }
 
 // String returns the name of the outcome as it appears in logs.
@@ -42,6 +45,11 @@
 	return "unknown"
 }
 
+// Inconclusive reports whether the outcome is no evidence of the target's health.
+func (o Outcome) Inconclusive() bool {
+	return o == Cancelled || o == Disconnected
+}
+
 // NotRun reports whether the outcome proves that the target didn't run the request.
 func (o Outcome) NotRun() bool {
 	return o == Shed || o == Refused
--- a/pkg/target/recorder.go
+++ b/pkg/target/recorder.go
@@ -148,7 +148,7 @@
 		t.urgent = true
 		return true
 	}
-	if o.overdue || outcome == Cancelled || outcome == Shed {
+	if o.overdue || outcome.Inconclusive() || outcome == Shed {
 		return false
 	}
 	t.count(o.stratum, outcome)
