Eject for errors and timeouts only if a target has more of them than the others

Cause: two server errors or timeouts within 2 s, reported by any instances, ejected a target for 3 s. About 1 in 100 requests fails and 1 in 100 is slow at a healthy target; at 10 requests a second a target has two of these within 2 s every ten seconds or so, and more the more traffic it gets from those that are ejected.

A target is now ejected for errors if it has at least two more than three times the mean of the others within 2 s. So the threshold grows with the traffic, and a fault of all targets ejects none. Timeouts eject at the instance that saw them, as before.

TestRareErrorsOfABusyServiceEjectNoTarget failed before (less than 70 in 100 healthy).

--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -12,8 +12,8 @@
 // still failing. A kept connection that dies at once may have been dropped by a healthy
 // target, so it only begins a probation.
 //
-// A server error ejects a target only if a second one follows within two seconds,
-// since some requests fail through no fault of the target. When too few targets
+// A server error ejects a target only if the target returns more of them within two
+// seconds than the others do, since some requests fail through no fault of the target. When too few targets
 // are left, those that are only slow, full or returning server errors are used first,
 // then those whose failures are the oldest.
 //
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -36,8 +36,14 @@
 	minUsablePercent = 20
 	// shedPause is how long a target gets no requests after it has shed one.
 	shedPause = 300 * time.Millisecond
-	// errorWindow is the longest time between two server errors that eject a target.
+	// errorWindow is how long a server error or a timeout counts.
 	errorWindow = 2 * time.Second
+	// minErrors is the number of errors within errorWindow that eject a target while no
+	// other target has any. errorFactor times the mean number of the other targets is
+	// added: with the traffic of a target grows the number of requests that fail through
+	// no fault of it, and a fault of all targets is a reason to eject none.
+	minErrors   = 2
+	errorFactor = 3
 )
 
 // Table holds what one instance knows about the targets of one service. It is not
@@ -72,9 +78,10 @@
 	lostRequests bool
 	// pausedUntil is the end of the pause after a shed request.
 	pausedUntil time.Duration
-	// lastErrorAt is when the target last returned a server error here, or when another
-	// instance last reported a server error or a timeout; zero if neither has happened.
-	lastErrorAt time.Duration
+	// errors holds the times of the server errors that the target returned here, and of
+	// the server errors and timeouts that other instances reported, oldest first. Those
+	// older than errorWindow are dropped when they are counted.
+	errors []time.Duration
 }
 
 // peerLoad is the number of requests that another instance had in flight. It
@@ -294,14 +301,14 @@
 		return false
 	}
 	s.running = max(s.running-1, 0)
-	return s.recordOutcome(now, outcome)
+	return t.recordOutcome(now, s, outcome)
 }
 
 // Overdue records that a request at a target has exceeded its response timeout and
 // is still running. It reports whether this should be sent to the other instances.
 func (t *Table) Overdue(now time.Duration, name string) bool {
 	s := t.targets[name]
-	return s != nil && s.recordOutcome(now, target.TimedOut)
+	return s != nil && t.recordOutcome(now, s, target.TimedOut)
 }
 
 // ReceiveOutcome records an outcome that another instance has observed.
@@ -320,20 +327,20 @@
 	case target.Failed, target.TimedOut:
 		// The network link of the other instance may be the cause, so a timeout
 		// there counts no more than one server error.
-		s.recordError(now)
+		t.recordError(now, s)
 	}
 }
 
 // recordOutcome records an outcome that this instance has observed. It reports
 // whether the other instances should be told. A refused connection is not sent on,
 // because the network link of this instance may be the cause.
-func (s *targetState) recordOutcome(now time.Duration, outcome target.Outcome) bool {
+func (t *Table) recordOutcome(now time.Duration, s *targetState, outcome target.Outcome) bool {
 	ejected := now < s.ejectedUntil
 	switch outcome {
 	case target.Succeeded:
 		return s.recordSuccess(now)
 	case target.Failed:
-		s.recordError(now)
+		t.recordError(now, s)
 		return true
 	case target.Crashed, target.Truncated:
 		s.eject(now, true)
@@ -351,13 +358,27 @@
 	return false
 }
 
-// recordError records a failure that doesn't eject the target by itself. Two of
-// them within errorWindow eject it.
-func (s *targetState) recordError(now time.Duration) {
-	if s.lastErrorAt != 0 && now-s.lastErrorAt <= errorWindow {
+// recordError records a failure that doesn't eject the target by itself. It ejects the
+// target if that has had many more of them within errorWindow than the others.
+func (t *Table) recordError(now time.Duration, s *targetState) {
+	s.errors = append(s.errors, now)
+	others := 0
+	for _, o := range t.order {
+		if o != s {
+			others += o.countErrors(now)
+		}
+	}
+	mean := float64(others) / float64(max(len(t.order)-1, 1))
+	if float64(s.countErrors(now)) >= minErrors+errorFactor*mean {
 		s.eject(now, false)
 	}
-	s.lastErrorAt = max(now, 1)
+}
+
+// countErrors drops the errors older than errorWindow and returns the number of the
+// others.
+func (s *targetState) countErrors(now time.Duration) int {
+	s.errors = slices.DeleteFunc(s.errors, func(at time.Duration) bool { return now-at > errorWindow })
+	return len(s.errors)
 }
 
 // recordSuccess counts a success if the target is on probation, and reports
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -323,3 +323,61 @@
 	_, ok := table.Choose(now, outlier.Request{})
 	is.True(!ok)
 }
+
+// busyService simulates a service whose targets each get perSecond requests for the given
+// time. The fraction of them that fails or times out is that of the target. It calls step
+// every 100 ms.
+func busyService(table *outlier.Table, targets, perSecond int, fraction func(i int) float64, length time.Duration, step func(at time.Duration)) {
+	const tick = 100 * time.Millisecond
+	random := rand.New(rand.NewPCG(3, 4))
+	for at := now; at < now+length; at += tick {
+		for i := range targets {
+			for range perSecond {
+				if random.Float64() < fraction(i)*tick.Seconds() {
+					table.ReceiveOutcome(at, fmt.Sprintf("desk-%02d", i), target.Failed)
+				}
+			}
+		}
+		step(at)
+	}
+}
+
+// Guards against targets of a busy service that are ejected because two of many requests
+// failed for reasons of their own, until the rest is overloaded.
+func TestRareErrorsOfABusyServiceEjectNoTarget(t *testing.T) {
+	const (
+		targets      = 60
+		perSecond    = 12
+		errorPercent = 2.2
+		floorPercent = 70 // the operators' floor for targets in use
+	)
+	is := is.New(t)
+	table := newTable(targets)
+	fewest := targets
+	busyService(table, targets, perSecond, func(int) float64 { return errorPercent / 100 }, 30*time.Second, func(at time.Duration) {
+		fewest = min(fewest, table.Counts(at).Healthy)
+	})
+	is.True(fewest*100 >= targets*floorPercent)
+}
+
+// Guards against errors that are rare elsewhere hiding a target that fails most requests.
+func TestFailingTargetOfABusyServiceIsEjected(t *testing.T) {
+	const (
+		targets   = 60
+		perSecond = 12
+	)
+	is := is.New(t)
+	table := newTable(targets)
+	ejectedAfter := time.Duration(0)
+	busyService(table, targets, perSecond, func(i int) float64 {
+		if i == 7 {
+			return 0.7
+		}
+		return 0.022
+	}, 10*time.Second, func(at time.Duration) {
+		if ejectedAfter == 0 && table.Ejected(at, "desk-07") {
+			ejectedAfter = at - now
+		}
+	})
+	is.True(ejectedAfter > 0 && ejectedAfter <= time.Second)
+}
