Let writes try a target three seconds after its ejection, not nine

Callers of a service that only gets writes had too few targets: with over a tenth of their requests refused or failed, sound targets got nothing for seconds (FLOOR).

Cause: only repeatable requests try a target on probation. A service without any waited 12 s after each failure, however short, unless under 40% of the targets were healthy.

TestRecoveredTargetsOfWritesAreUsedAgain fails with 9 s.

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -19,8 +19,10 @@
 	// which takes milliseconds.
 	ejectionTime = 3 * time.Second
 	// probationTime is how long after the ejection a target gets no requests that may
-	// not be repeated. probationSuccesses successes end it earlier.
-	probationTime = 9 * time.Second
+	// not be repeated. probationSuccesses successes end it earlier. It can't be much
+	// longer than the ejection: without repeatable requests nothing else shows that a
+	// target has recovered.
+	probationTime = 3 * time.Second
 	// probationSuccesses is the number of successes that end a probation. One isn't
 	// enough, because a failing target still answers a few percent of its requests.
 	probationSuccesses = 2
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -381,3 +381,82 @@
 	})
 	is.True(ejectedAfter > 0 && ejectedAfter <= time.Second)
 }
+
+// grayTarget fails from one time to another and then is healthy for a while.
+type grayTarget struct {
+	failsFrom, failsUntil time.Duration
+	used                  bool
+}
+
+// Guards against targets of a service that only gets writes staying out of use long after
+// they have recovered, since no read can try them.
+func TestRecoveredTargetsOfWritesAreUsedAgain(t *testing.T) {
+	const (
+		targets      = 60
+		perTick      = 5 // 500 requests a second
+		tick         = 10 * time.Millisecond
+		workTime     = 400 * time.Millisecond
+		checkPeriod  = 2 * time.Second
+		length       = time.Minute
+		floorPercent = 70 // the operators' floor for targets in use
+	)
+	is := is.New(t)
+	table := newTable(targets)
+	random := rand.New(rand.NewPCG(5, 6))
+	// Failures last 2 to 12 s, and take a third of the time.
+	gray := make([]grayTarget, targets)
+	redraw := func(g *grayTarget, at time.Duration) {
+		g.failsFrom = at + time.Duration(random.Int64N(int64(28*time.Second)))
+		g.failsUntil = g.failsFrom + 2*time.Second + time.Duration(random.Int64N(int64(10*time.Second)))
+	}
+	for i := range gray {
+		redraw(&gray[i], now-20*time.Second)
+	}
+	type run struct {
+		name string
+		ends time.Duration
+	}
+	var running []run
+	for at := now; at < now+length; at += tick {
+		for len(running) > 0 && running[0].ends <= at {
+			table.Done(at, running[0].name, target.Succeeded)
+			running = running[1:]
+		}
+		for range perTick {
+			c, ok := table.Choose(at, outlier.Request{})
+			is.True(ok)
+			var i int
+			_, err := fmt.Sscanf(c.Name, "desk-%d", &i)
+			is.NoErr(err)
+			g := &gray[i]
+			g.used = true
+			if at >= g.failsFrom && at < g.failsUntil && random.Float64() < 0.75 {
+				table.Done(at, c.Name, target.Crashed)
+				continue
+			}
+			running = append(running, run{
+				name: c.Name,
+				ends: at + workTime,
+			})
+		}
+		if (at-now+tick)%checkPeriod != 0 {
+			continue
+		}
+		sound, unused := 0, 0
+		for i := range gray {
+			g := &gray[i]
+			// Healthy for all of this period and the one before.
+			if g.failsFrom > at || g.failsUntil <= at-2*checkPeriod {
+				sound++
+				if !g.used {
+					unused++
+				}
+			}
+			g.used = false
+			if g.failsUntil <= at-2*checkPeriod {
+				redraw(g, at)
+			}
+		}
+		is.True(unused*100 <= sound*(100-floorPercent))
+	}
+}
