Count requests of the retry budget when they began, not when they are reported

Cause: an instance reports the requests that it has begun with its next retry, up to 10 s later, and the keeper counted all of them at that time. When retries begin everywhere at once, the window holds up to twice the requests, and the budget is as much larger.

The report now holds the time over which the requests began, and the keeper spreads them over it.

TestBudgetHoldsWhenRetriesBeginAtOnce fails if that time is ignored.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -13,7 +13,11 @@
 
 // Admit implements entry.Admission.
 func (a admission) Admit(ctx context.Context, organisation string, cost int) (entry.Grant, error) {
-	decision := a.gateway.requestDecision(ctx, organisationRate, organisation, cost)
+	decision := a.gateway.requestDecision(ctx, decisionRequest{
+		Kind:   organisationRate,
+		Name:   organisation,
+		Amount: cost,
+	})
 	if decision.Granted {
 		return grantedUnits{}, nil
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -99,6 +99,14 @@
 	s.newRequests++
 }
 
+// takeRequestCount returns the number of requests begun since it was last called, but not
+// those that the retry budget ignores, and the time since then.
+func (s *service) takeRequestCount(now time.Duration) (requests int, over time.Duration) {
+	requests, over = s.newRequests, now-s.countingSince
+	s.newRequests, s.countingSince = 0, now
+	return requests, over
+}
+
 // Retry implements entry.Dispatcher. A retry of an attempt that did not reach its
 // target is always granted.
 func (d dispatcher) Retry(ctx context.Context, name string, failed retry.Attempt) bool {
@@ -106,19 +114,23 @@
 		return true
 	}
 	g := d.gateway
-	newRequests := 0
+	request := decisionRequest{
+		Kind: retryBudget,
+		Name: name,
+	}
 	g.state.withLock(func() {
 		if s := g.state.services[name]; s != nil {
-			newRequests, s.newRequests, s.countingSince = s.newRequests, 0, boot.Now()
+			request.Amount, request.Over = s.takeRequestCount(boot.Now())
 		}
 	})
-	granted := g.requestDecision(ctx, retryBudget, name, newRequests).Granted
+	granted := g.requestDecision(ctx, request).Granted
 	g.logger.Info("retry asked for",
 		slog.String("Request", entry.RequestID(ctx)),
 		slog.String("Service", name),
 		slog.String("Outcome", failed.Outcome.String()),
 		slog.Int("Attempt", failed.Number),
-		slog.Int("Begun", newRequests),
+		slog.Int("Begun", request.Amount),
+		slog.Duration("Over", request.Over),
 		slog.Bool("Granted", granted))
 	if !granted {
 		g.count("Retry.Unpaid")
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -72,28 +72,24 @@
 
 // requestDecision returns the decision of the keeper, or a local one if
 // maxKeeperAttempts keepers didn't answer. If ctx ends first, the decision is a refusal.
-func (g *Gateway) requestDecision(ctx context.Context, k limitKind, name string, amount int) meter.Decision {
+func (g *Gateway) requestDecision(ctx context.Context, r decisionRequest) meter.Decision {
 	for range maxKeeperAttempts {
-		keeper := g.keeper(k, name)
+		keeper := g.keeper(r.Kind, r.Name)
 		if keeper == g.self.Address {
-			return g.decideAsKeeper(decisionRequest{
-				Kind:   k,
-				Name:   name,
-				Amount: amount,
-			})
+			return g.decideAsKeeper(r)
 		}
-		if decision, ok := g.askKeeper(ctx, keeper, k, name, amount); ok {
-			if k == organisationRate {
-				g.state.withLock(func() { g.state.localRates.RecordDecision(boot.Now(), name, decision.Granted) })
+		if decision, ok := g.askKeeper(ctx, keeper, r); ok {
+			if r.Kind == organisationRate {
+				g.state.withLock(func() { g.state.localRates.RecordDecision(boot.Now(), r.Name, decision.Granted) })
 			}
 			return decision
 		}
 		if ctx.Err() != nil {
 			return meter.Decision{}
 		}
-		g.state.markUnresponsive(keeper, k.String()+" "+name)
+		g.state.markUnresponsive(keeper, r.Kind.String()+" "+r.Name)
 	}
-	return g.decideLocally(k, name, amount)
+	return g.decideLocally(r)
 }
 
 // keeper returns the instance that decides about a limit. A rate has one keeper for the
@@ -116,22 +112,18 @@
 
 // askKeeper sends a decision request and waits for the response. It reports false if
 // none came after all sendings, or if ctx ended.
-func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, k limitKind, name string, amount int) (meter.Decision, bool) {
+func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, r decisionRequest) (meter.Decision, bool) {
 	number, response := g.pending.add()
 	defer g.pending.remove(number)
+	r.Number = number
 	for attempt, timeout := range decisionTimeouts {
-		g.send(keeper, decisionRequest{
-			Number:  number,
-			Kind:    k,
-			Name:    name,
-			Amount:  amount,
-			Forward: attempt == 0 && k == organisationRate,
-		})
+		r.Forward = attempt == 0 && r.Kind == organisationRate
+		g.send(keeper, r)
 		timer := time.NewTimer(timeout)
 		select {
-		case r := <-response:
+		case answer := <-response:
 			timer.Stop()
-			return r.Decision, true
+			return answer.Decision, true
 		case <-ctx.Done():
 			timer.Stop()
 			return meter.Decision{}, false
@@ -197,7 +189,10 @@
 	zones := st.zones(now)
 	if request.Kind == retryBudget {
 		return meter.Decision{
-			Granted: st.budgets.Take(now, request.Name, request.Amount, zones.Fraction),
+			Granted: st.budgets.Take(now, request.Name, meter.Begun{
+				Requests: request.Amount,
+				Over:     request.Over,
+			}, zones.Fraction),
 		}
 	}
 	rate, ok := st.rateOf(request.Name)
@@ -221,24 +216,24 @@
 
 // decideLocally decides while no keeper can be reached: it grants an equal part of each
 // rate, and no retries.
-func (g *Gateway) decideLocally(k limitKind, name string, amount int) meter.Decision {
+func (g *Gateway) decideLocally(r decisionRequest) meter.Decision {
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	g.logger.Warn("decided without a keeper",
-		slog.String("Kind", k.String()),
-		slog.String("Name", name),
+		slog.String("Kind", r.Kind.String()),
+		slog.String("Name", r.Name),
 		slog.Int("Members", st.roster.Len()))
-	if k == retryBudget {
+	if r.Kind == retryBudget {
 		return meter.Decision{}
 	}
-	rate, ok := st.rateOf(name)
+	rate, ok := st.rateOf(r.Name)
 	if !ok {
 		return meter.Decision{
 			Granted: true,
 		}
 	}
-	return st.localRates.Take(boot.Now(), rate, amount, st.roster.Len())
+	return st.localRates.Take(boot.Now(), rate, r.Amount, st.roster.Len())
 }
 
 // zones returns how the instances are spread over the zones. It does not count members
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -29,6 +29,8 @@
 	// Amount is the cost of the request in units for a rate, or the number of requests
 	// begun since the last decision request for a retry budget.
 	Amount int
+	// Over is the time over which Amount requests were begun, for a retry budget.
+	Over time.Duration
 	// Forward tells the receiver to forward the request once if it knows another
 	// keeper.
 	Forward bool
@@ -142,7 +144,7 @@
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
 // instance address or a zone, fieldAmount a fraction in parts per million,
 // fieldNumber a time in nanoseconds, and fieldForward, in an item of loanRequests, the
-// flag FleetKeeper. fieldRetryAfter is in milliseconds.
+// flag FleetKeeper. fieldRetryAfter and fieldOver are in milliseconds.
 const (
 	fieldType protowire.Number = iota + 1
 	fieldNumber
@@ -156,6 +158,8 @@
 	fieldSuspect
 	fieldForward
 	fieldItem
+	fieldOver
+	lastField = fieldOver
 )
 
 // partsPerMillion is the factor by which a fraction is multiplied to be sent as an
@@ -175,6 +179,9 @@
 		if m.Origin != "" {
 			b = appendText(b, fieldService, string(m.Origin))
 		}
+		if m.Over > 0 {
+			b = appendNumber(b, fieldOver, uint64(m.Over.Milliseconds()))
+		}
 		return b
 	case decisionResponse:
 		b := appendNumber(nil, fieldType, decisionResponseType)
@@ -236,8 +243,8 @@
 // fields holds the decoded fields of a datagram or of one of its items, indexed by
 // field number.
 type fields struct {
-	numbers [fieldItem + 1]uint64
-	texts   [fieldItem + 1]string
+	numbers [lastField + 1]uint64
+	texts   [lastField + 1]string
 	items   []fields
 }
 
@@ -247,7 +254,7 @@
 func parseFields(b []byte) (fields, error) {
 	var f fields
 	err := forEachField(b, func(n protowire.Number, v uint64, content []byte) error {
-		if n > fieldItem {
+		if n > lastField {
 			return nil
 		}
 		f.numbers[n] = v
@@ -285,6 +292,7 @@
 			Kind:    limitKind(f.numbers[fieldKind]),
 			Name:    f.texts[fieldName],
 			Amount:  int(min(f.numbers[fieldAmount], math.MaxInt32)),
+			Over:    time.Duration(min(f.numbers[fieldOver], math.MaxInt32)) * time.Millisecond,
 			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
 			Origin:  instance.Address(f.texts[fieldService]),
 		}, nil
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -26,6 +26,7 @@
 				Kind:   retryBudget,
 				Name:   "desk",
 				Amount: 3,
+				Over:   1200 * time.Millisecond,
 			},
 		},
 		{
--- a/pkg/meter/budget.go
+++ b/pkg/meter/budget.go
@@ -38,10 +38,16 @@
 	}
 }
 
-// Take takes one retry from a service's budget, if there is one. Requests is the
-// number that the asking instance has begun since it last asked, and fraction is
-// the zone's share of the fleet, from 0 to 1.
-func (b *Budget) Take(now time.Duration, service string, requests int, fraction float64) bool {
+// Begun is the number of requests that an instance has begun over a time that ends now.
+type Begun struct {
+	Requests int
+	Over     time.Duration
+}
+
+// Take takes one retry from a service's budget, if there is one. Begun holds the requests
+// that the asking instance has begun since it last asked, and fraction is the zone's share
+// of the fleet, from 0 to 1.
+func (b *Budget) Take(now time.Duration, service string, begun Begun, fraction float64) bool {
 	u := b.services[service]
 	if u == nil {
 		u = &usage{
@@ -50,7 +56,7 @@
 		}
 		b.services[service] = u
 	}
-	u.requests.Add(now, float64(requests))
+	u.requests.AddOver(now, float64(begun.Requests), begun.Over)
 	bound := b.settings.Ratio*u.requests.Sum(now) + b.settings.Base*fraction
 	if u.retries.Sum(now)+1 > bound*grantedPercent/100 {
 		return false
--- a/pkg/meter/rates_test.go
+++ b/pkg/meter/rates_test.go
@@ -341,7 +341,10 @@
 	requests := 0
 	for now := time.Second; now < 40*time.Second; now += 20 * time.Millisecond {
 		requests++
-		if b.Take(now, "desk", 1, 0.3) {
+		begun := meter.Begun{
+			Requests: 1,
+		}
+		if b.Take(now, "desk", begun, 0.3) {
 			granted = append(granted, now)
 		}
 	}
@@ -357,3 +360,45 @@
 	}
 	is.True(len(granted) > 0)
 }
+
+// Guards against requests that are reported late, with the first retry in a while, being
+// counted as if they had begun at that time: the budget would be nearly doubled.
+func TestBudgetHoldsWhenRetriesBeginAtOnce(t *testing.T) {
+	const (
+		instances = 20
+		perSecond = 5 // requests of each instance
+		calm      = 20 * time.Second
+		tick      = time.Second / perSecond
+	)
+	is := is.New(t)
+	settings := meter.BudgetSettings{
+		Ratio: 0.2,
+		Base:  60,
+		Span:  10 * time.Second,
+	}
+	b := meter.NewBudget(settings)
+	allowed := settings.Ratio*instances*perSecond*settings.Span.Seconds() + settings.Base
+	// Each instance reports the requests of the last span with its first retry.
+	reported := make([]time.Duration, instances)
+	for i := range reported {
+		reported[i] = calm - settings.Span
+	}
+	granted := 0
+	for now := calm; now < calm+settings.Span; now += tick {
+		for i := range instances {
+			begun := meter.Begun{
+				Requests: int((now - reported[i]) / tick),
+				Over:     now - reported[i],
+			}
+			reported[i] = now
+			for range 3 { // more retries than the budget allows
+				if b.Take(now, "desk", begun, 1) {
+					granted++
+				}
+				begun = meter.Begun{}
+			}
+		}
+	}
+	is.True(float64(granted) <= allowed)
+	is.True(float64(granted) >= allowed/2)
+}
--- a/pkg/meter/window.go
+++ b/pkg/meter/window.go
@@ -26,6 +26,16 @@
 	w.counts[w.newest%windowSlots] += n
 }
 
+// AddOver counts n events that were spread evenly over a time that ends now. Those older
+// than the span aren't counted.
+func (w *Window) AddOver(now time.Duration, n float64, over time.Duration) {
+	w.advance(now)
+	slots := int64(over/w.slotLength) + 1
+	for i := range min(slots, windowSlots, w.newest+1) {
+		w.counts[(w.newest-i)%windowSlots] += n / float64(slots)
+	}
+}
+
 // Sum returns the number of events in the span before now.
 func (w *Window) Sum(now time.Duration) float64 {
 	w.advance(now)
