Don't prolong an ejection for errors of requests sent before it

A target with errors or timeouts stayed out of use longer than the three seconds of its ejection: requests that it had got before failed one by one meanwhile, and each two of them ejected it anew.

Errors and timeouts during an ejection no longer count. Resets still do.

--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -166,23 +166,28 @@
 // integer.
 const partsPerMillion = 1e6
 
+// encodeDecisionRequest returns the wire form of a decision request.
+func encodeDecisionRequest(m decisionRequest) []byte {
+	b := appendNumber(nil, fieldType, decisionRequestType)
+	b = appendNumber(b, fieldNumber, m.Number)
+	b = appendNumber(b, fieldKind, uint64(m.Kind))
+	b = appendText(b, fieldName, m.Name)
+	b = appendNumber(b, fieldAmount, uint64(m.Amount))
+	b = appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
+	if m.Origin != "" {
+		b = appendText(b, fieldService, string(m.Origin))
+	}
+	if m.Over > 0 {
+		b = appendNumber(b, fieldOver, uint64(m.Over.Milliseconds()))
+	}
+	return b
+}
+
 // encode returns the wire form of a message.
 func encode(m message) []byte {
 	switch m := m.(type) {
 	case decisionRequest:
-		b := appendNumber(nil, fieldType, decisionRequestType)
-		b = appendNumber(b, fieldNumber, m.Number)
-		b = appendNumber(b, fieldKind, uint64(m.Kind))
-		b = appendText(b, fieldName, m.Name)
-		b = appendNumber(b, fieldAmount, uint64(m.Amount))
-		b = appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
-		if m.Origin != "" {
-			b = appendText(b, fieldService, string(m.Origin))
-		}
-		if m.Over > 0 {
-			b = appendNumber(b, fieldOver, uint64(m.Over.Milliseconds()))
-		}
-		return b
+		return encodeDecisionRequest(m)
 	case decisionResponse:
 		b := appendNumber(nil, fieldType, decisionResponseType)
 		b = appendNumber(b, fieldNumber, m.Number)
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -361,8 +361,12 @@
 }
 
 // recordError records a failure that doesn't eject the target by itself. It ejects the
-// target if that has had many more of them within errorWindow than the others.
+// target if that has had many more of them within errorWindow than the others. Failures
+// during an ejection are of requests sent before it, and don't prolong it.
 func (t *Table) recordError(now time.Duration, s *targetState) {
+	if now < s.ejectedUntil {
+		return
+	}
 	s.errors = append(s.errors, now)
 	others := 0
 	for _, o := range t.order {
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -382,6 +382,19 @@
 	is.True(ejectedAfter > 0 && ejectedAfter <= time.Second)
 }
 
+// Guards against a target that stays out of use because requests that it got before its
+// ejection fail later.
+func TestLateErrorDoesNotProlongAnEjection(t *testing.T) {
+	is := is.New(t)
+	table := newTable(11)
+	for range 3 {
+		table.ReceiveOutcome(now, "desk-03", target.Failed)
+	}
+	is.True(table.Ejected(now, "desk-03"))
+	table.ReceiveOutcome(now+1900*time.Millisecond, "desk-03", target.TimedOut)
+	is.True(!table.Ejected(now+3*time.Second, "desk-03"))
+}
+
 // grayTarget fails from one time to another and then is healthy for a while.
 type grayTarget struct {
 	failsFrom, failsUntil time.Duration
