--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -71,6 +71,17 @@
 			},
 			want: "08011007180222046465736b28035801420d31302e302e302e323a37333430",
 		},
+		{
+			name: "ask with the time over which requests were begun",
+			m: decisionRequest{
+				Number: 7,
+				Kind:   retryBudget,
+				Name:   "desk",
+				Amount: 3,
+				Over:   1200 * time.Millisecond,
+			},
+			want: "08011007180222046465736b2803580068b009",
+		},
 		{
 			name: "ask for rate",
 			m: decisionRequest{
