Count the errors of a service's targets as they come, not anew for each error

Each reported error walked all targets of its service: 24.7 µs with 1,900 targets, at some 2,000 errors a second in a fleet of the size that the design is for, so 5% of a core. The errors are now kept in one list by time: 87 ns (BenchmarkReceiveError).

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -57,6 +57,16 @@
 	// order holds the targets sorted by name, so that choices are reproducible under a
 	// fixed seed.
 	order []*targetState
+	// errors holds the server errors that this instance saw, and the server errors and
+	// timeouts that others reported, within errorWindow, oldest first. Those of targets
+	// that were ejected meanwhile are included.
+	errors []targetError
+}
+
+// targetError is a server error or a timeout of a target.
+type targetError struct {
+	target *targetState
+	at     time.Duration
 }
 
 // targetState is a target with its load and its recent failures.
@@ -80,10 +90,8 @@
 	lostRequests bool
 	// pausedUntil is the end of the pause after a shed request.
 	pausedUntil time.Duration
-	// errors holds the times of the server errors that the target returned here, and of
-	// the server errors and timeouts that other instances reported, oldest first. Those
-	// older than errorWindow are dropped when they are counted.
-	errors []time.Duration
+	// errorCount is the number of the target's entries in Table.errors.
+	errorCount int
 }
 
 // peerLoad is the number of requests that another instance had in flight. It
@@ -367,24 +375,26 @@
 	if now < s.ejectedUntil {
 		return
 	}
-	s.errors = append(s.errors, now)
-	others := 0
-	for _, o := range t.order {
-		if o != s {
-			others += o.countErrors(now)
-		}
-	}
-	mean := float64(others) / float64(max(len(t.order)-1, 1))
-	if float64(s.countErrors(now)) >= minErrors+errorFactor*mean {
+	t.dropOldErrors(now)
+	t.errors = append(t.errors, targetError{
+		target: s,
+		at:     now,
+	})
+	s.errorCount++
+	mean := float64(len(t.errors)-s.errorCount) / float64(max(len(t.order)-1, 1))
+	if float64(s.errorCount) >= minErrors+errorFactor*mean {
 		s.eject(now, false)
 	}
 }
 
-// countErrors drops the errors older than errorWindow and returns the number of the
-// others.
-func (s *targetState) countErrors(now time.Duration) int {
-	s.errors = slices.DeleteFunc(s.errors, func(at time.Duration) bool { return now-at > errorWindow })
-	return len(s.errors)
+// dropOldErrors removes the errors that are older than errorWindow.
+func (t *Table) dropOldErrors(now time.Duration) {
+	old := 0
+	for old < len(t.errors) && now-t.errors[old].at > errorWindow {
+		t.errors[old].target.errorCount--
+		old++
+	}
+	t.errors = t.errors[old:]
 }
 
 // recordSuccess counts a success if the target is on probation, and reports
