--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -223,6 +223,10 @@
 	configurationKey    = "configuration"
 	targetPrefix        = "targets/"
 	maxConfigurationAge = 3 * time.Second
+	// The settings of the retry budget.
+	retryRatio  = 0.2
+	baseRetries = 60
+	retryWindow = 10 * time.Second
 )
 
 // newTestFleet starts targets and instances in zone a, and waits until the instances
@@ -287,9 +291,9 @@
 		MetricsAddress:      "127.0.0.1:0",
 		StopTimeout:         6 * time.Second,
 		MaxConfigurationAge: maxConfigurationAge,
-		RetryRatio:          0.2,
-		BaseRetries:         60,
-		RetryWindow:         10 * time.Second,
+		RetryRatio:          retryRatio,
+		BaseRetries:         baseRetries,
+		RetryWindow:         retryWindow,
 		RateTolerance:       meter.Tolerance{},
 	}, gateway.Adapters{
 		Store:               d,
