--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,122 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/gateway"
+	"dandelionmux/internal/standin"
+)
+
+const (
+	// crashLimit is the number of crashed targets after which a request must be refused,
+	// and maxLateArrivals the number of times that it may still reach a target once
+	// convictionTime has passed since then.
+	crashLimit      = 3
+	maxLateArrivals = 3
+	convictionTime  = 3 * time.Second
+)
+
+// crashTestZones are the zones of the instances.
+var crashTestZones = []string{"a", "a", "b", "b", "c", "c"}
+
+// sendCrashing sends a request that crashes its target, always the same one, and returns
+// the status, or zero if there was no answer.
+func (f *testFleet) sendCrashing(g *gateway.Gateway, method string) int {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+g.EntryAddress()+"/one/crash", nil)
+	is.New(f.t).NoErr(err)
+	r.Header.Set("Authorization", "Bearer key-1")
+	r.Header.Set(standin.HeaderCrash, "1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// crashes returns the number of times that a target has crashed.
+func (f *testFleet) crashes() int {
+	all := 0
+	for _, s := range f.targets {
+		all += int(s.Counts().Crashes)
+	}
+	return all
+}
+
+// Guards against a request that goes on crashing targets because the instance that gets it
+// doesn't know of the crashes that others have seen.
+func TestCrashingRequestIsRefusedByAllInstances(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		// before is called with the fleet before the request is sent for the first time,
+		// and after once the request has crashed crashLimit targets.
+		before func(f *testFleet)
+		after  func(f *testFleet)
+	}{
+		{
+			name:   "write at instances of all zones",
+			method: http.MethodPost,
+		},
+		{
+			name:   "read at instances of all zones",
+			method: http.MethodGet,
+		},
+		{
+			name:   "read on kept connections",
+			method: http.MethodGet,
+			before: func(f *testFleet) {
+				for range 20 {
+					for _, g := range f.instances {
+						f.call(g, "/one/1", "key-1")
+					}
+				}
+			},
+		},
+		{
+			name:   "write at instances that were started since",
+			method: http.MethodPost,
+			after: func(f *testFleet) {
+				for i, zone := range crashTestZones {
+					f.replaceInstance(i, zone)
+				}
+				f.awaitMembers()
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newTestFleet(t, 2, 12)
+			for _, zone := range crashTestZones[len(f.instances):] {
+				f.startInstance(zone)
+			}
+			f.awaitMembers()
+			if tt.before != nil {
+				tt.before(f)
+			}
+			for i := 0; f.crashes() < crashLimit; i++ {
+				f.sendCrashing(f.instances[i%len(f.instances)], tt.method)
+			}
+			time.Sleep(convictionTime)
+			if tt.after != nil {
+				tt.after(f)
+			}
+			before := f.arrivals()
+			for range 4 {
+				for _, g := range f.instances {
+					f.sendCrashing(g, tt.method)
+				}
+			}
+			t.Logf("%d arrivals after %d crashes", f.arrivals()-before, crashLimit)
+			is.True(f.arrivals()-before <= maxLateArrivals)
+			is.Equal(f.sendCrashing(f.instances[0], tt.method), http.StatusServiceUnavailable)
+		})
+	}
+}
