Let a zone's retry budget outlive the keepers that count it

Cause: only the keeper of a service knew what it had granted. When it was killed or stopped, its successor began with an empty count and granted the base and the ratio again, within the same 10 s.

Placed retries equal the granted ones in every span that broke the rule, and the keepers heard of fewer requests than were begun, so that neither attempts that nobody grants nor doubled counts explain it.

Now the keeper reports to its zone what it has granted since it started, with the load reports, and every instance counts it. A service's keeper is the highest ranked instance that has run for a whole span, or the oldest if none has. A zone whose instances have all been restarted grants 25% of the bound until it has counted for a span; the others grant 65% instead of 80%, so that both fit.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/retry"
@@ -259,11 +260,13 @@
 	}
 }
 
-// sendLoadReport, which is called every tick, reports this instance's load at targets to
-// its zone if a report is due. Without load it sends an empty report every
-// maxLoadReportPeriod, so that the others know that the instance is reachable.
-func (g *Gateway) sendLoadReport(now time.Duration) {
+// sendReports, which is called every tick, reports this instance's load at targets, and
+// the retries that it has granted lately, to its zone if reports are due. Without load it
+// sends an empty load report every maxLoadReportPeriod, so that the others know that the
+// instance is reachable.
+func (g *Gateway) sendReports(now time.Duration) {
 	var loads []targetLoad
+	var retries []meter.Totals
 	st := g.state
 	due := false
 	st.withLock(func() {
@@ -281,14 +284,21 @@
 				})
 			}
 		}
+		retries = st.budgets.Changed(now, loadReportLifetimePeriods*st.loadReportPeriod())
 		if due = len(loads) > 0 || now >= st.lastLoadReportAt+maxLoadReportPeriod; due {
 			st.lastLoadReportAt = now
 		}
 	})
+	if len(retries) > 0 {
+		g.sendToZone(retryReport{
+			Totals: retries,
+			Age:    now - st.startedAt,
+		})
+	}
 	if !due {
 		return
 	}
-	for _, m := range splitLoads(loads) {
+	for _, m := range splitLoads(loads, now-st.startedAt) {
 		g.sendToZone(m)
 	}
 }
@@ -304,6 +314,7 @@
 	now := boot.Now()
 	st := g.state
 	st.withLock(func() {
+		st.ages.Report(now, from, m.Age)
 		lifetime := loadReportLifetimePeriods * st.loadReportPeriod()
 		for _, load := range m.Loads {
 			if s := st.services[load.Service]; s != nil {
@@ -313,6 +324,20 @@
 	})
 }
 
+// handleRetryReport counts the retries that another instance of the zone has granted.
+func (g *Gateway) handleRetryReport(from instance.Address, m retryReport) {
+	now := boot.Now()
+	keeper := meter.Keeper{
+		Address:   string(from),
+		StartedAt: now - m.Age,
+	}
+	g.state.withLock(func() {
+		for _, t := range m.Totals {
+			g.state.budgets.Receive(now, keeper, t)
+		}
+	})
+}
+
 // sendToZone sends a message to all other instances of the zone.
 func (g *Gateway) sendToZone(m message) {
 	var peers []instance.Address
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -154,6 +154,25 @@
 			},
 			want: "0806621042046465736b22066465736b2d612803",
 		},
+		{
+			name: "no loads",
+			m: loadReport{
+				Age: 4 * time.Second,
+			},
+			want: "080668a01f",
+		},
+		{
+			name: "retries",
+			m: retryReport{
+				Totals: []meter.Totals{{
+					Service:  "desk",
+					Retries:  12,
+					Requests: 300,
+				}},
+				Age: 4 * time.Second,
+			},
+			want: "0807620b42046465736b280c10ac0268a01f",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,7 +255,7 @@
 		if n%loanRequestTicks == 0 {
 			g.sendLoanRequests()
 		}
-		g.sendLoadReport(boot.Now())
+		g.sendReports(boot.Now())
 	}
 }
 
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -98,15 +98,15 @@
 // retry budget has one keeper in each zone.
 func (g *Gateway) keeper(k limitKind, name string) instance.Address {
 	st := g.state
-	var keeper instance.Address
-	st.withLock(func() {
-		if k == organisationRate {
-			keeper = st.roster.FleetKeeper(k.String(), name)
-		}
-		if keeper == "" || st.unresponsive(keeper) {
-			keeper = st.roster.ZoneKeeper(k.String(), name, st.unresponsive)
-		}
-	})
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if k == retryBudget {
+		return st.roster.CountingKeeper(boot.Now(), k.String(), name, st.unresponsive, st.ages, g.settings.RetryWindow)
+	}
+	keeper := st.roster.FleetKeeper(k.String(), name)
+	if st.unresponsive(keeper) {
+		keeper = st.roster.ZoneKeeper(k.String(), name, st.unresponsive)
+	}
 	return keeper
 }
 
@@ -117,7 +117,7 @@
 	defer g.pending.remove(number)
 	r.Number = number
 	for attempt, timeout := range decisionTimeouts {
-		r.Forward = attempt == 0 && r.Kind == organisationRate
+		r.Forward = attempt == 0
 		g.send(keeper, r)
 		timer := time.NewTimer(timeout)
 		select {
@@ -134,8 +134,8 @@
 }
 
 // handleDecisionRequest answers a decision request, or forwards it once: the sender's
-// list of members may be older than this instance's, or only the sender may be unable
-// to reach the keeper.
+// list of members may be older than this instance's, this instance may have been started
+// again since, or only the sender may be unable to reach the keeper.
 func (g *Gateway) handleDecisionRequest(from instance.Address, m decisionRequest) {
 	if m.Forward {
 		if keeper := g.keeper(m.Kind, m.Name); keeper != g.self.Address && keeper != from {
@@ -188,12 +188,7 @@
 	now := boot.Now()
 	zones := st.zones(now)
 	if request.Kind == retryBudget {
-		return meter.Decision{
-			Granted: st.budgets.Take(now, request.Name, meter.Begun{
-				Requests: request.Amount,
-				Over:     request.Over,
-			}, zones.Fraction),
-		}
+		return st.takeRetry(now, request, zones)
 	}
 	rate, ok := st.rateOf(request.Name)
 	if !ok {
@@ -214,6 +209,25 @@
 	return decision
 }
 
+// takeRetry takes a retry from a retry budget. The caller must hold mu.
+func (st *localState) takeRetry(now time.Duration, request decisionRequest, zones meter.Zones) meter.Decision {
+	decision := st.budgets.Take(now, request.Name, meter.Begun{
+		Requests: request.Amount,
+		Over:     request.Over,
+	}, zones)
+	if !decision.Granted {
+		st.gateway.logger.Info("retry budget used up",
+			slog.String("Service", request.Name),
+			slog.Float64("Requests", decision.Requests),
+			slog.Float64("Retries", decision.Retries),
+			slog.Float64("Limit", decision.Limit),
+			slog.Duration("Age", now-st.startedAt))
+	}
+	return meter.Decision{
+		Granted: decision.Granted,
+	}
+}
+
 // decideLocally decides while no keeper can be reached: it grants an equal part of each
 // rate, and no retries.
 func (g *Gateway) decideLocally(r decisionRequest) meter.Decision {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -15,7 +15,7 @@
 )
 
 // message is a datagram between instances: a decisionRequest, decisionResponse,
-// failureReport, loanRequests, loanOffers or loadReport.
+// failureReport, loanRequests, loanOffers, loadReport or retryReport.
 type message interface{ message() }
 
 // decisionRequest asks a keeper for units of an organisation's rate or for a retry from
@@ -77,6 +77,15 @@
 // loadReport lists the requests that the sender has running at targets.
 type loadReport struct {
 	Loads []targetLoad
+	// Age is how long the sender has been running, to a millisecond.
+	Age time.Duration
+}
+
+// retryReport lists what the sender has granted of the retry budgets that it keeps.
+type retryReport struct {
+	Totals []meter.Totals
+	// Age is how long the sender has been running, to a millisecond.
+	Age time.Duration
 }
 
 // targetLoad is the number of requests that an instance has running at one target.
@@ -91,13 +100,17 @@
 
 // splitLoads spreads loads over as many reports as are needed for each to fit into a
 // datagram. It returns at least one report.
-func splitLoads(loads []targetLoad) []loadReport {
-	reports := []loadReport{{}}
+func splitLoads(loads []targetLoad, age time.Duration) []loadReport {
+	reports := []loadReport{{
+		Age: age,
+	}}
 	size := loadOverheadBytes
 	for _, l := range loads {
 		loadBytes := len(l.Service) + len(l.Target) + loadOverheadBytes
 		if size+loadBytes > maxDatagramBytes {
-			reports = append(reports, loadReport{})
+			reports = append(reports, loadReport{
+				Age: age,
+			})
 			size = loadOverheadBytes
 		}
 		last := &reports[len(reports)-1]
@@ -113,6 +126,7 @@
 func (loanRequests) message()     {}
 func (loanOffers) message()       {}
 func (loadReport) message()       {}
+func (retryReport) message()      {}
 
 // limitKind is a kind of limit that a keeper decides about.
 type limitKind uint64
@@ -139,12 +153,14 @@
 	loanRequestsType
 	loanOffersType
 	loadReportType
+	retryReportType
 )
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
-// instance address or a zone, fieldAmount a fraction in parts per million,
-// fieldNumber a time in nanoseconds, and fieldForward, in an item of loanRequests, the
-// flag FleetKeeper. fieldRetryAfter and fieldOver are in milliseconds.
+// instance address or a zone, fieldAmount a fraction in parts per million or a number of
+// retries, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
+// fieldForward, in an item of loanRequests, the flag FleetKeeper. fieldRetryAfter and
+// fieldOver are in milliseconds.
 const (
 	fieldType protowire.Number = iota + 1
 	fieldNumber
@@ -223,7 +239,15 @@
 			item = appendText(item, fieldName, l.Target)
 			b = appendText(b, fieldItem, string(appendNumber(item, fieldAmount, uint64(l.Running))))
 		}
-		return b
+		return appendAge(b, m.Age)
+	case retryReport:
+		b := appendNumber(nil, fieldType, retryReportType)
+		for _, t := range m.Totals {
+			item := appendText(nil, fieldService, t.Service)
+			item = appendNumber(item, fieldAmount, t.Retries)
+			b = appendText(b, fieldItem, string(appendNumber(item, fieldNumber, t.Requests)))
+		}
+		return appendAge(b, m.Age)
 	}
 	return nil
 }
@@ -237,6 +261,14 @@
 	return appendNumber(b, fieldNumber, uint64(sentAt))
 }
 
+// appendAge appends the age of the sender, unless it is below a millisecond.
+func appendAge(b []byte, age time.Duration) []byte {
+	if age < time.Millisecond {
+		return b
+	}
+	return appendNumber(b, fieldOver, uint64(age.Milliseconds()))
+}
+
 func appendNumber(b []byte, n protowire.Number, v uint64) []byte {
 	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
 }
@@ -280,6 +312,12 @@
 	return time.Duration(min(f.numbers[fieldNumber], math.MaxInt64))
 }
 
+// over returns a time in milliseconds: over which requests were begun, or since the sender
+// started.
+func (f *fields) over() time.Duration {
+	return time.Duration(min(f.numbers[fieldOver], math.MaxInt32)) * time.Millisecond
+}
+
 // fraction returns a fraction of a rate, from 0 to 1.
 func (f *fields) fraction() float64 { return float64(f.numbers[fieldAmount]) / partsPerMillion }
 
@@ -297,7 +335,7 @@
 			Kind:    limitKind(f.numbers[fieldKind]),
 			Name:    f.texts[fieldName],
 			Amount:  int(min(f.numbers[fieldAmount], math.MaxInt32)),
-			Over:    time.Duration(min(f.numbers[fieldOver], math.MaxInt32)) * time.Millisecond,
+			Over:    f.over(),
 			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
 			Origin:  instance.Address(f.texts[fieldService]),
 		}, nil
@@ -324,6 +362,8 @@
 		return f.loanOffers(), nil
 	case loadReportType:
 		return f.loadReport(), nil
+	case retryReportType:
+		return f.retryReport(), nil
 	}
 	return nil, errors.Wrapf(errMalformed, "unknown type %d", f.numbers[fieldType])
 }
@@ -359,7 +399,9 @@
 }
 
 func (f *fields) loadReport() loadReport {
-	m := loadReport{}
+	m := loadReport{
+		Age: f.over(),
+	}
 	for _, item := range f.items {
 		m.Loads = append(m.Loads, targetLoad{
 			Service: item.texts[fieldService],
@@ -371,3 +413,17 @@
 	}
 	return m
 }
+
+func (f *fields) retryReport() retryReport {
+	m := retryReport{
+		Age: f.over(),
+	}
+	for _, item := range f.items {
+		m.Totals = append(m.Totals, meter.Totals{
+			Service:  item.texts[fieldService],
+			Retries:  item.numbers[fieldAmount],
+			Requests: item.numbers[fieldNumber],
+		})
+	}
+	return m
+}
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -85,9 +85,21 @@
 				}},
 			},
 		},
+		{
+			name: "retry report",
+			m: retryReport{
+				Totals: []meter.Totals{{
+					Service:  "desk",
+					Retries:  12,
+					Requests: 300,
+				}},
+				Age: 9 * time.Second,
+			},
+		},
 		{
 			name: "load report",
 			m: loadReport{
+				Age: 4 * time.Second,
 				Loads: []targetLoad{
 					{
 						Service: "desk",
@@ -142,10 +154,10 @@
 		})
 	}
 	reported := 0
-	for _, m := range splitLoads(loads) {
+	for _, m := range splitLoads(loads, time.Hour) {
 		is.True(len(encode(m)) <= maxDatagramBytes)
 		reported += len(m.Loads)
 	}
 	is.Equal(reported, len(loads))
-	is.Equal(len(splitLoads(nil)), 1) // an empty report says that the instance is reachable
+	is.Equal(len(splitLoads(nil, time.Hour)), 1) // an empty report says that the instance is reachable
 }
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -83,5 +83,7 @@
 		g.handleLoanOffers(m)
 	case loadReport:
 		g.handleLoadReport(from, m)
+	case retryReport:
+		g.handleRetryReport(from, m)
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -70,8 +70,11 @@
 	mirrorChanged chan struct{}
 	// lastDatagramAt is when each other instance last sent a datagram.
 	lastDatagramAt map[instance.Address]time.Duration
-	startedAt      time.Duration
-	// nextLoadReportAt is when sendLoadReport next looks for loads to report, and
+	// ages holds how long the instances of the zone have been running, by their load
+	// reports.
+	ages      *roster.Ages
+	startedAt time.Duration
+	// nextLoadReportAt is when sendReports next looks for something to report, and
 	// lastLoadReportAt when it last sent a report.
 	nextLoadReportAt time.Duration
 	lastLoadReportAt time.Duration
@@ -92,6 +95,7 @@
 }
 
 func newLocalState(g *Gateway) *localState {
+	now := boot.Now()
 	return &localState{
 		gateway:    g,
 		mirror:     mirror.New(),
@@ -101,7 +105,7 @@
 		services:   map[string]*service{},
 		rates:      meter.NewRates(g.settings.Zone, g.settings.RateTolerance),
 		localRates: meter.NewLocalRates(),
-		budgets: meter.NewBudget(meter.BudgetSettings{
+		budgets: meter.NewBudget(now, meter.BudgetSettings{
 			Ratio: g.settings.RetryRatio,
 			Base:  g.settings.BaseRetries,
 			Span:  g.settings.RetryWindow,
@@ -111,7 +115,8 @@
 		staleUntil:        map[instance.Address]time.Duration{},
 		mirrorChanged:     make(chan struct{}),
 		lastDatagramAt:    map[instance.Address]time.Duration{},
-		startedAt:         boot.Now(),
+		ages:              roster.NewAges(g.self.Address, now),
+		startedAt:         now,
 	}
 }
 
@@ -318,7 +323,7 @@
 }
 
 // expire drops targets and members that did not register again after a store outage,
-// exclusions that have ended, and the datagram times of instances that are no members.
+// exclusions that have ended, and what is known of instances that are no members.
 func (st *localState) expire(now time.Duration) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -337,10 +342,13 @@
 	if changed {
 		st.rebuildRoster()
 	}
-	maps.DeleteFunc(st.lastDatagramAt, func(a instance.Address, at time.Duration) bool {
-		_, member := st.members[a]
-		return !member && now >= at+memberLeaseTerm
-	})
+	for a, at := range st.lastDatagramAt {
+		if _, member := st.members[a]; !member && now >= at+memberLeaseTerm {
+			delete(st.lastDatagramAt, a)
+			st.ages.Forget(a)
+			st.budgets.Forget(string(a))
+		}
+	}
 	for _, excluded := range []map[instance.Address]time.Duration{st.unresponsiveUntil, st.staleUntil} {
 		maps.DeleteFunc(excluded, func(_ instance.Address, until time.Duration) bool { return now >= until })
 	}
--- a/pkg/meter/budget.go
+++ b/pkg/meter/budget.go
@@ -1,6 +1,10 @@
 package meter
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // BudgetSettings bounds the retries to a service over the whole fleet.
 type BudgetSettings struct {
@@ -13,29 +17,58 @@
 	Span time.Duration
 }
 
-// grantedPercent of the bound is granted, because requests that end while a budget's
-// keeper changes are counted twice or not at all.
-const grantedPercent = 80
+// Parts of the bound that are granted within a span. Together they leave a tenth of it for
+// retries that arrive later than they were granted and for grant reports that are lost.
+const (
+	// grantedPercent is granted by a budget that has counted for a whole span.
+	grantedPercent = 65
+	// newBudgetPercent is granted by a newer one. It doesn't know the retries from before
+	// its start, and its predecessors may have granted grantedPercent just then.
+	newBudgetPercent = 25
+)
 
-// Budget enforces one zone's share of the services' retry budgets. It is not safe
-// for concurrent use.
+// Budget counts a zone's retries and grants its share of the services' retry budgets. Each
+// instance has one. The keeper of a service grants the retries and reports them to the
+// other instances of its zone, so that any of them can go on from its counts. A Budget is
+// not safe for concurrent use.
 type Budget struct {
-	settings BudgetSettings
-	services map[string]*usage
+	settings  BudgetSettings
+	startedAt time.Duration
+	services  map[string]*usage
+	// reported holds the last report of each other keeper about each service.
+	reported map[string]map[string]reportedTotals
 }
 
-// usage counts a service's requests and retries over the span.
+// usage counts a service's requests and retries.
 type usage struct {
+	// requests and retries are those of the zone over the span.
 	requests *Window
 	retries  *Window
+	// granted holds what this instance has counted as keeper since it started, and
+	// changedAt is when that last changed. It is zero if that never did.
+	granted   Totals
+	changedAt time.Duration
 }
 
-// NewBudget returns a budget that has counted no requests.
-func NewBudget(s BudgetSettings) *Budget {
-	return &Budget{
-		settings: s,
-		services: map[string]*usage{},
-	}
+// Totals holds the numbers of a service's retries that a keeper has granted, and of the
+// requests that it was told of, since it started.
+type Totals struct {
+	Service  string
+	Retries  uint64
+	Requests uint64
+}
+
+// reportedTotals is the last report about a service and when it came.
+type reportedTotals struct {
+	Totals
+	at time.Duration
+}
+
+// Keeper identifies an instance that reports Totals.
+type Keeper struct {
+	Address string
+	// StartedAt is when it started, on the clock of the instance that gets the report.
+	StartedAt time.Duration
 }
 
 // Begun is the number of requests that an instance has begun over a time that ends now.
@@ -44,23 +77,106 @@
 	Over     time.Duration
 }
 
+// BudgetDecision is the answer to one request for a retry. The other fields are the
+// inputs, for logs.
+type BudgetDecision struct {
+	Granted bool
+	// Requests and Retries are the zone's within the span, before this decision.
+	Requests float64
+	Retries  float64
+	// Limit is the number of retries that may be granted within the span.
+	Limit float64
+}
+
+// NewBudget returns a budget of an instance that starts now.
+func NewBudget(now time.Duration, s BudgetSettings) *Budget {
+	return &Budget{
+		settings:  s,
+		startedAt: now,
+		services:  map[string]*usage{},
+		reported:  map[string]map[string]reportedTotals{},
+	}
+}
+
 // Take takes one retry from a service's budget, if there is one. Begun holds the requests
-// that the asking instance has begun since it last asked, and fraction is the zone's share
-// of the fleet, from 0 to 1.
-func (b *Budget) Take(now time.Duration, service string, begun Begun, fraction float64) bool {
+// that the asking instance has begun since it last asked, and zones the zone's share of
+// the fleet.
+func (b *Budget) Take(now time.Duration, service string, begun Begun, zones Zones) BudgetDecision {
+	u := b.usage(service)
+	if begun.Requests > 0 {
+		u.requests.AddOver(now, float64(begun.Requests), begun.Over)
+		u.granted.Requests += uint64(begun.Requests)
+		u.changedAt = now
+	}
+	percent := grantedPercent
+	if now < b.startedAt+b.settings.Span {
+		percent = newBudgetPercent
+	}
+	d := BudgetDecision{
+		Requests: u.requests.Sum(now),
+		Retries:  u.retries.Sum(now),
+	}
+	d.Limit = (b.settings.Ratio*d.Requests + b.settings.Base*zones.cappedFraction()) * float64(percent) / 100
+	if d.Granted = d.Retries+1 <= d.Limit; d.Granted {
+		u.retries.Add(now, 1)
+		u.granted.Retries++
+		u.changedAt = now
+	}
+	return d
+}
+
+// usage returns the counts of a service and creates them on first use.
+func (b *Budget) usage(service string) *usage {
 	u := b.services[service]
 	if u == nil {
 		u = &usage{
 			requests: NewWindow(b.settings.Span),
 			retries:  NewWindow(b.settings.Span),
+			granted: Totals{
+				Service: service,
+			},
 		}
 		b.services[service] = u
 	}
-	u.requests.AddOver(now, float64(begun.Requests), begun.Over)
-	bound := b.settings.Ratio*u.requests.Sum(now) + b.settings.Base*fraction
-	if u.retries.Sum(now)+1 > bound*grantedPercent/100 {
-		return false
+	return u
+}
+
+// Changed lists the totals that have changed within the last term, to be reported to the
+// other instances of the zone. A term of several reports makes up for lost ones.
+func (b *Budget) Changed(now, term time.Duration) []Totals {
+	var list []Totals
+	for _, u := range b.services {
+		if u.changedAt > 0 && now < u.changedAt+term {
+			list = append(list, u.granted)
+		}
+	}
+	slices.SortFunc(list, func(a, b Totals) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+// Receive counts what another keeper has counted since its last report. The first report
+// of a keeper that is older than this budget only sets where to count from.
+func (b *Budget) Receive(now time.Duration, from Keeper, t Totals) {
+	services := b.reported[from.Address]
+	if services == nil {
+		services = map[string]reportedTotals{}
+		b.reported[from.Address] = services
+	}
+	last, known := services[t.Service]
+	services[t.Service] = reportedTotals{
+		Totals: t,
+		at:     now,
 	}
-	u.retries.Add(now, 1)
-	return true
+	if known && (from.StartedAt > last.at || t.Retries < last.Retries || t.Requests < last.Requests) {
+		last, known = reportedTotals{}, false // the keeper has been restarted
+	}
+	if !known && from.StartedAt < b.startedAt {
+		return
+	}
+	u := b.usage(t.Service)
+	u.retries.Add(now, float64(t.Retries-last.Retries))
+	u.requests.AddOver(now, float64(t.Requests-last.Requests), now-max(last.at, from.StartedAt))
 }
+
+// Forget forgets the reports of a keeper that is gone. What it granted still counts.
+func (b *Budget) Forget(address string) { delete(b.reported, address) }
--- a/pkg/meter/doc.go
+++ b/pkg/meter/doc.go
@@ -7,6 +7,11 @@
 // service's retry budget has one keeper in each zone. Which instance is a keeper
 // follows from the list of members.
 //
+// The keeper of a retry budget reports what it grants to all instances of its zone, so
+// that its successor goes on from the same counts. Nobody can tell an instance whose whole
+// zone has been restarted what was granted before. Until it has counted for a span, it
+// grants a smaller part of the bound, which the others leave ungranted.
+//
 // Each zone owns a fraction of a rate, as large as its fraction of the instances.
 // The instance that enforces a rate, be it the fleet's keeper or a zone's, borrows the
 // other zones' fractions for a second at a time, from the instances that would be the
@@ -30,8 +35,12 @@
 //		// offer, ok := r.Lend(now, rate, request, zones)
 //		// and send the offer back; then r.Borrow(now, rate, offer, zones).
 //	}
-//	budget := meter.NewBudget(settings)
-//	if budget.Take(now, service, requests, zones.Fraction) {
+//	budget := meter.NewBudget(now, settings)
+//	if budget.Take(now, service, begun, zones).Granted {
 //		// Send the request once more.
 //	}
+//	for _, totals := range budget.Changed(now, term) {
+//		// Send them to the other instances of the zone, which call
+//		// budget.Receive(now, keeper, totals).
+//	}
 package meter
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -19,6 +19,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -92,6 +93,22 @@
 	return highestRanked(key(kind, name), r.ZoneMembers(), unresponsive)
 }
 
+// CountingKeeper returns the member of this instance's zone that keeps a count over time of
+// this kind and name. It is the highest ranked of those that have run for minAge, because
+// a member that has started since doesn't know the whole count. If none has, it is the one
+// that has run longest. Unresponsive members are passed over as by ZoneKeeper.
+func (r *Roster) CountingKeeper(now time.Duration, kind, name string, unresponsive func(instance.Address) bool, ages *Ages, minAge time.Duration) instance.Address {
+	longest := time.Duration(0)
+	for _, m := range r.ZoneMembers() {
+		if !unresponsive(m.Address) {
+			longest = max(longest, ages.Of(now, m.Address))
+		}
+	}
+	return highestRanked(key(kind, name), r.ZoneMembers(), func(a instance.Address) bool {
+		return unresponsive(a) || ages.Of(now, a) < min(minAge, longest)
+	})
+}
+
 // FleetKeeper returns the member that is responsible for the rate, budget or message of
 // this kind and name in the whole fleet. It is also the ZoneKeeper in its own zone,
 // unless it is unresponsive.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -100,6 +101,72 @@
 	is.Equal(r.ZoneKeeper("rate", "orchard", func(instance.Address) bool { return true }), first)
 }
 
+// Guards against a count that is kept by an instance which doesn't know its beginning.
+func TestCountingKeeperKnowsTheCount(t *testing.T) {
+	const now, minAge = time.Hour, 10 * time.Second
+	all := members(39)
+	self := all[0]
+	inZone := roster.New(self, all).ZoneMembers()
+	first := roster.New(self, all).ZoneKeeper("budget", "desk", noneUnresponsive)
+	tests := []struct {
+		name string
+		// started is how long ago this instance started.
+		started time.Duration
+		// ages are the reported ages of the other members; those without have none.
+		ages func(a instance.Address) (time.Duration, bool)
+		want func(a instance.Address) bool
+	}{
+		{
+			name:    "all are old",
+			started: time.Minute,
+			ages:    func(instance.Address) (time.Duration, bool) { return time.Minute, true },
+			want:    func(a instance.Address) bool { return a == first },
+		},
+		{
+			name:    "the first in rank has been restarted",
+			started: time.Minute,
+			ages: func(a instance.Address) (time.Duration, bool) {
+				if a == first {
+					return time.Second, true
+				}
+				return time.Minute, true
+			},
+			want: func(a instance.Address) bool { return a != first },
+		},
+		{
+			name:    "all others have been restarted",
+			started: 5 * time.Second,
+			ages:    func(instance.Address) (time.Duration, bool) { return time.Second, true },
+			want:    func(a instance.Address) bool { return a == self.Address },
+		},
+		{
+			name:    "all started at once and have reported nothing",
+			started: time.Millisecond,
+			ages:    func(instance.Address) (time.Duration, bool) { return 0, false },
+			want:    func(a instance.Address) bool { return a == first },
+		},
+		{
+			name:    "others joined and have reported nothing",
+			started: 5 * time.Second,
+			ages:    func(instance.Address) (time.Duration, bool) { return 0, false },
+			want:    func(a instance.Address) bool { return a == self.Address },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ages := roster.NewAges(self.Address, now-tt.started)
+			for _, m := range inZone {
+				if age, ok := tt.ages(m.Address); ok && m.Address != self.Address {
+					ages.Report(now, m.Address, age)
+				}
+			}
+			got := roster.New(self, all).CountingKeeper(now, "budget", "desk", noneUnresponsive, ages, minAge)
+			is.True(tt.want(got))
+		})
+	}
+}
+
 func TestTasksAreSpread(t *testing.T) {
 	is := is.New(t)
 	all := members(39)
