Report the requests of a retry budget once when its keeper is asked again

A decision request that isn't answered within 60 ms is sent again, and the keeper added the requests begun both times: under load or loss the bound was too large. TestRepeatedDecisionRequestReportsRequestsOnce failed before.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -118,6 +118,10 @@
 	r.Number = number
 	for attempt, timeout := range decisionTimeouts {
 		r.Forward = attempt == 0
+		if attempt > 0 && r.Kind == retryBudget {
+			// The first sending has reported these requests, unless it was lost.
+			r.Amount, r.Over = 0, 0
+		}
 		g.send(keeper, r)
 		timer := time.NewTimer(timeout)
 		select {
--- /dev/null
+++ b/internal/gateway/keeper_internal_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionmux/pkg/instance"
+)
+
+// Guards against requests that count twice for the retry budget because the keeper was
+// slow to answer and was asked again.
+func TestRepeatedDecisionRequestReportsRequestsOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		kind  limitKind
+		wants []int
+	}{
+		{
+			name:  "requests begun count once",
+			kind:  retryBudget,
+			wants: []int{3, 0},
+		},
+		{
+			name:  "units are asked for each time",
+			kind:  organisationRate,
+			wants: []int{3, 3},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			own, err := listenDatagrams("127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = own.Close() }()
+			keeper, err := listenDatagrams("127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = keeper.Close() }()
+			g := &Gateway{
+				datagrams: own,
+				pending:   newPendingRequests(),
+				registry:  metrics.NewRegistry(),
+				logger:    slog.New(slog.DiscardHandler),
+			}
+			_, answered := g.askKeeper(context.Background(), instance.Address(keeper.LocalAddr().String()), decisionRequest{
+				Kind:   tt.kind,
+				Name:   "desk",
+				Amount: 3,
+				Over:   time.Second,
+			})
+			is.True(!answered)
+			buffer := make([]byte, maxDatagramBytes)
+			for _, want := range tt.wants {
+				is.NoErr(keeper.SetReadDeadline(time.Now().Add(10 * time.Second)))
+				n, err := keeper.Read(buffer)
+				is.NoErr(err)
+				m, err := decode(buffer[:n])
+				is.NoErr(err)
+				is.Equal(m.(decisionRequest).Amount, want)
+			}
+		})
+	}
+}
