Refuse a request that crashes targets at all instances, also those started later

Operators saw a request that had crashed three targets being sent on, and crash several more.

Cause: an instance counted the crashes of its own zone only, forgot them after a minute and at its restart, and counted none if the request went out on a kept connection, whose end was taken for a dropped one. The caller repeats at any instance.

Now a strike goes to all instances with the report of the failed attempt. A request with a strike gets a new connection, so that a second death is the target's own; two dead kept connections and one crash convict it as three crashes do. A conviction is stored for ten minutes under dandelionmux/quarantine/, where instances that start later read it with everything else, and is stored again while the request keeps coming. A success anywhere clears it. Strikes count for ten minutes and the least recently struck requests make room for others, instead of new requests being ignored when the table is full.

--- a/internal/control/strikes.go
+++ b/internal/control/strikes.go
@@ -132,6 +132,9 @@
 // Deadline implements entry.Permit.
 func (unrestrictedPermit) Deadline() time.Time { return time.Time{} }
 
+// Suspect implements entry.Permit.
+func (unrestrictedPermit) Suspect() bool { return false }
+
 // Release implements entry.Permit.
 func (p unrestrictedPermit) Release(r entry.RunResult) {
 	if r.CrashedTarget == "" {
@@ -170,6 +173,9 @@
 // Deadline implements entry.Permit.
 func (p suspectPermit) Deadline() time.Time { return p.deadline }
 
+// Suspect implements entry.Permit.
+func (suspectPermit) Suspect() bool { return true }
+
 // Release implements entry.Permit.
 func (p suspectPermit) Release(r entry.RunResult) {
 	result := quarantine.Inconclusive
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -147,6 +147,7 @@
 		Repeatable:   x.repeatable,
 		TriedTargets: x.triedTargets,
 		Deadline:     x.deadline,
+		Permit:       x.permit,
 	})
 	if err != nil {
 		return failedAttempt{
@@ -301,6 +302,7 @@
 		NewConnection: !p.exchange.handler.mayReuseConnection(keepalive.Request{
 			Repeatable: p.exchange.repeatable,
 			Retry:      p.exchange.sentAttempts > 0,
+			Suspect:    p.exchange.permit.Suspect(),
 		}),
 		Gate: func() error { return p.exchange.checkBeforeSend(ctx) },
 	})
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -132,6 +132,8 @@
 	TriedTargets []string
 	// Deadline is when the request must have ended.
 	Deadline time.Time
+	// Permit is the permit that the request runs with.
+	Permit Permit
 }
 
 // Dispatcher chooses targets for requests. It may queue requests until a target
@@ -162,6 +164,9 @@
 	// Deadline returns when the run must have ended; zero if only the request's
 	// own deadline applies.
 	Deadline() time.Time
+	// Suspect reports whether the request may have crashed a target before. It is then
+	// sent on a new connection, so that a crash isn't taken for a dropped connection.
+	Suspect() bool
 	// Release ends the run and reports its result. It is called once.
 	Release(RunResult)
 }
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -412,6 +412,8 @@
 
 func (p *fakePermit) Deadline() time.Time { return time.Time{} }
 
+func (p *fakePermit) Suspect() bool { return false }
+
 func (p *fakePermit) Release(r entry.RunResult) {
 	p.quarantine.mu.Lock()
 	defer p.quarantine.mu.Unlock()
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -86,6 +86,7 @@
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
+	acquired.permit, _ = request.Permit.(*permit)
 	acquired.timer = time.AfterFunc(responseTimeout, acquired.reportOverdue)
 	return acquired, nil
 }
@@ -149,6 +150,8 @@
 	timer           *time.Timer
 	// targetCounts is the state of the service's targets when this one was chosen.
 	targetCounts outlier.Counts
+	// permit is that of the request, or nil.
+	permit *permit
 	// inUse is the number of requests running at the target at that time, including
 	// this one.
 	inUse int
@@ -184,9 +187,11 @@
 		}
 	})
 	if notify {
-		g.reportFailure(sl.service, sl.target.Name, entry.AttemptResult{
+		g.reportFailure(failureReport{
+			Service: sl.service,
+			Target:  sl.target.Name,
 			Outcome: target.TimedOut,
-		})
+		}, entry.AttemptResult{})
 	}
 }
 
@@ -218,9 +223,18 @@
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
+	m := failureReport{
+		Target:  sl.target.Name,
+		Outcome: outcome,
+	}
+	if sl.permit != nil && sl.permit.recordStrike(sl.target.Name, e.Outcome) {
+		m.Suspect = sl.permit.fingerprint
+	}
 	if notify {
-		e.Outcome = outcome
-		g.reportFailure(sl.service, sl.target.Name, e)
+		m.Service = sl.service
+		g.reportFailure(m, e)
+	} else if m.Suspect != (quarantine.Fingerprint{}) {
+		g.sendToFleet(m)
 	}
 }
 
@@ -232,27 +246,27 @@
 	return "new"
 }
 
-// reportFailure reports a failed attempt at a target to all instances: directly to those
-// of the own zone, and to one of each other zone, which forwards it.
-func (g *Gateway) reportFailure(service, targetName string, e entry.AttemptResult) {
-	m := failureReport{
-		Service: service,
-		Target:  targetName,
-		Outcome: e.Outcome,
-	}
+// reportFailure reports a failed attempt at a target to all instances.
+func (g *Gateway) reportFailure(m failureReport, e entry.AttemptResult) {
 	g.logger.Info("target seen",
-		slog.String("Service", service),
-		slog.String("Target", targetName),
-		slog.String("Outcome", e.Outcome.String()),
+		slog.String("Service", m.Service),
+		slog.String("Target", m.Target),
+		slog.String("Outcome", m.Outcome.String()),
 		slog.Bool("Reused", e.Reused),
 		slog.Duration("Rested", e.Rested))
-	g.count("Target.Told." + e.Outcome.String())
+	g.count("Target.Told." + m.Outcome.String())
+	g.sendToFleet(m)
+}
+
+// sendToFleet sends a report to all instances: directly to those of the own zone, and to
+// one of each other zone, which forwards it.
+func (g *Gateway) sendToFleet(m failureReport) {
 	g.sendToZone(m)
 	// The text "news" ranks the instances that forward reports to their zone. It is
 	// hashed, so it must be the same on all instances.
 	var forwarders []instance.Address
 	g.state.withLock(func() {
-		forwarders = g.state.roster.RemoteKeepers("news", targetName, g.state.unresponsive)
+		forwarders = g.state.roster.RemoteKeepers("news", m.Target, g.state.unresponsive)
 	})
 	m.Forward = true
 	for _, a := range forwarders {
@@ -370,13 +384,13 @@
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
 			ejected = s.table.Ejected(now, m.Target)
 		}
-		if m.Suspect != (quarantine.Fingerprint{}) {
-			g.state.strikes.AddStrike(now, m.Suspect, m.Target)
-		}
 		if m.Forward {
 			peers = g.state.zonePeers(from)
 		}
 	})
+	if m.Suspect != (quarantine.Fingerprint{}) {
+		g.handleSuspect(m)
+	}
 	g.count("Target.Heard")
 	g.logger.Debug("failure report received",
 		slog.String("From", string(from)),
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -139,6 +139,16 @@
 		return store.Leased{
 			Lease: c.Lease,
 		}, nil
+	case store.Delete:
+		if m.entries[c.Key].Version != c.Expected {
+			return store.Swapped{
+				Current: m.entries[c.Key],
+			}, nil
+		}
+		return store.Swapped{
+			Done:    true,
+			Current: m.set(c.Key, nil, 0),
+		}, nil
 	case store.Swap:
 		if m.entries[c.Key].Version != c.Expected {
 			return store.Swapped{
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -53,6 +53,16 @@
 	is.Equal(g.memberKey(), "dandelionmux/members/10.0.0.1:7000")
 }
 
+func TestConvictionIsStoredUnderFixedNames(t *testing.T) {
+	is := is.New(t)
+	content, err := json.Marshal(convictionValue{
+		Targets: []string{"desk-1", "desk-2"},
+	})
+	is.NoErr(err)
+	is.Equal(string(content), `{"Targets":["desk-1","desk-2"]}`)
+	is.Equal(convictionKey(quarantine.Fingerprint{1, 2}), "dandelionmux/quarantine/01020000000000000000000000000000")
+}
+
 func TestDatagramsHaveFixedBytes(t *testing.T) {
 	tests := []struct {
 		name string
@@ -267,9 +277,11 @@
 				registry: metrics.NewRegistry(),
 			}
 			g.state = newLocalState(g)
-			g.reportFailure("desk", "desk-a", entry.AttemptResult{
+			g.reportFailure(failureReport{
+				Service: "desk",
+				Target:  "desk-a",
 				Outcome: tt.outcome,
-			})
+			}, entry.AttemptResult{})
 			is.True(g.registry.Get(tt.want) != nil) // counted under its name
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"dandelionmux/internal/forward"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
+	"dandelionmux/pkg/quarantine"
 )
 
 // Limits of the servers and of connections to targets.
@@ -59,6 +60,9 @@
 	// publishMu serialises changes of the snapshot.
 	publishMu sync.Mutex
 
+	// unsaved receives the requests whose conviction may have to be changed in the store.
+	unsaved chan quarantine.Fingerprint
+
 	tasks  *errgroup.Group
 	cancel context.CancelFunc
 	// deregister ends the instance's registration.
@@ -94,6 +98,7 @@
 			Zone: s.Zone,
 		},
 		pending:    newPendingRequests(),
+		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedConvictions),
 		peerClient: newPeerClient(),
 	}
 	for _, o := range options {
@@ -200,6 +205,7 @@
 	g.deregister = deregister
 	g.goTask(func() { g.keepMembership(membership) })
 	g.goTask(func() { g.tick(ctx) })
+	g.goTask(func() { g.saveConvictions(ctx) })
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
 		slog.String("Zone", g.settings.Zone),
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -45,13 +45,16 @@
 	meter.Decision
 }
 
-// failureReport reports an attempt that failed at a target.
+// failureReport reports an attempt that failed at a target, or a request that doesn't crash
+// targets after all.
 type failureReport struct {
-	// Service is empty if the report only carries a Suspect.
+	// Service is empty if the report says nothing about the target.
 	Service string
 	Target  string
+	// Outcome is that of the attempt. With target.Succeeded the report only clears Suspect.
 	Outcome target.Outcome
-	// Suspect is the fingerprint of the request that crashed the target, or zero.
+	// Suspect is the fingerprint of the request whose connection to the target ended while
+	// it ran, or zero.
 	Suspect quarantine.Fingerprint
 	// Forward tells the receiver to forward the report to the other instances of its
 	// zone.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,45 +3,73 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/quarantine"
+	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
 )
 
-// quarantineRetryAfter is the Retry-After sent to callers of a quarantined request. Its
-// strikes have expired by then.
-const quarantineRetryAfter = time.Minute
+const (
+	// convictionPrefix is the store key prefix of requests that crash targets. An instance
+	// that starts later finds them there.
+	convictionPrefix = "dandelionmux/quarantine/"
+	// maxUnsavedConvictions bounds the convictions that wait to be stored. One that finds
+	// no room is stored when its request is refused again.
+	maxUnsavedConvictions = 64
+	// minQuarantineRetryAfter is the shortest Retry-After sent to callers of a quarantined
+	// request.
+	minQuarantineRetryAfter = time.Second
+)
+
+// convictionValue is the JSON value of a conviction's key, for operators.
+type convictionValue struct {
+	Targets []string
+}
+
+// convictionKey returns the store key of a request's conviction.
+func convictionKey(f quarantine.Fingerprint) string { return convictionPrefix + f.String() }
 
 // quarantineCheck implements entry.Quarantine.
 type quarantineCheck struct{ gateway *Gateway }
 
 // Acquire implements entry.Quarantine.
 func (q quarantineCheck) Acquire(ctx context.Context, identity entry.RequestIdentity) (entry.Permit, error) {
+	g := q.gateway
 	outline := quarantine.OutlineOf(identity.Organisation, identity.Route, identity.Method, identity.Path)
 	f := quarantine.FingerprintOf(outline, sha256.Sum256(identity.Body))
-	quarantined := false
-	q.gateway.state.withLock(func() {
-		quarantined = q.gateway.state.strikes.Quarantined(boot.Now(), f)
+	var remaining time.Duration
+	suspect := false
+	g.state.withLock(func() {
+		now := boot.Now()
+		remaining = g.state.strikes.Remaining(now, f)
+		suspect = g.state.strikes.Suspect(now, f)
 	})
-	if quarantined {
-		q.gateway.count("Quarantine.Refused")
-		q.gateway.logger.Warn("quarantined",
+	if remaining > 0 {
+		g.count("Quarantine.Refused")
+		g.logger.Warn("quarantined",
 			slog.String("Request", entry.RequestID(ctx)),
-			slog.String("Fingerprint", f.String()))
+			slog.String("Fingerprint", f.String()),
+			slog.Duration("Remaining", remaining))
+		g.saveConviction(f)
 		return nil, &entry.Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "quarantined",
-			RetryAfter: quarantineRetryAfter,
+			RetryAfter: max(remaining, minQuarantineRetryAfter),
 		}
 	}
 	return &permit{
-		gateway:     q.gateway,
+		gateway:     g,
 		fingerprint: f,
+		suspect:     suspect,
 		requestID:   entry.RequestID(ctx),
 	}, nil
 }
@@ -50,6 +78,7 @@
 type permit struct {
 	gateway     *Gateway
 	fingerprint quarantine.Fingerprint
+	suspect     bool
 	// requestID is for logs.
 	requestID string
 }
@@ -58,24 +87,172 @@
 // expire.
 func (p *permit) Deadline() time.Time { return time.Time{} }
 
-// Release implements entry.Permit.
+// Suspect implements entry.Permit.
+func (p *permit) Suspect() bool { return p.suspect }
+
+// Release implements entry.Permit. The strike of a run that crashed a target is recorded
+// when the target's slot is released.
 func (p *permit) Release(r entry.RunResult) {
+	if r.CrashedTarget != "" || !r.Answered {
+		return
+	}
 	g := p.gateway
-	if r.CrashedTarget == "" {
-		if r.Answered {
-			g.state.withLock(func() { g.state.strikes.Clear(p.fingerprint) })
-		}
+	tell := false
+	g.state.withLock(func() { tell = g.state.strikes.Clear(p.fingerprint) })
+	if !tell {
 		return
 	}
-	g.state.withLock(func() { g.state.strikes.AddStrike(boot.Now(), p.fingerprint, r.CrashedTarget) })
+	g.logger.Info("request cleared",
+		slog.String("Request", p.requestID),
+		slog.String("Fingerprint", p.fingerprint.String()))
+	g.sendToFleet(failureReport{
+		Outcome: target.Succeeded,
+		Suspect: p.fingerprint,
+	})
+	g.saveConviction(p.fingerprint)
+}
+
+// recordStrike records a strike if the attempt ended with its connection. It reports
+// whether it did.
+func (p *permit) recordStrike(targetName string, outcome target.Outcome) bool {
+	if outcome != target.Crashed && outcome != target.Disconnected {
+		return false
+	}
+	g := p.gateway
 	g.logger.Info("strike",
 		slog.String("Request", p.requestID),
 		slog.String("Fingerprint", p.fingerprint.String()),
-		slog.String("Target", r.CrashedTarget))
-	// Requests of a caller come to one zone, so other zones don't need the strike.
-	g.sendToZone(failureReport{
-		Target:  r.CrashedTarget,
-		Outcome: target.Crashed,
-		Suspect: p.fingerprint,
+		slog.String("Target", targetName),
+		slog.String("Outcome", outcome.String()))
+	convicted := false
+	g.state.withLock(func() { convicted = g.state.addStrike(p.fingerprint, targetName, outcome) })
+	if convicted {
+		g.logger.Warn("request convicted",
+			slog.String("Request", p.requestID),
+			slog.String("Fingerprint", p.fingerprint.String()))
+		g.saveConviction(p.fingerprint)
+	}
+	return true
+}
+
+// addStrike records a strike that this instance has seen or was told of. It reports
+// whether the request is convicted by it. The caller must hold mu.
+func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome) bool {
+	return st.strikes.AddStrike(boot.Now(), f, quarantine.TallyStrike{
+		Target: targetName,
+		Kept:   outcome == target.Disconnected,
 	})
 }
+
+// handleSuspect records the strike or the success of a request that another instance has
+// reported.
+func (g *Gateway) handleSuspect(m failureReport) {
+	g.state.withLock(func() {
+		if m.Outcome == target.Succeeded {
+			g.state.strikes.Clear(m.Suspect)
+			return
+		}
+		g.state.addStrike(m.Suspect, m.Target, m.Outcome)
+	})
+}
+
+// saveConviction has the store changed to what is known of a request's conviction, if that
+// is necessary and not too many others wait for it.
+func (g *Gateway) saveConviction(f quarantine.Fingerprint) {
+	select {
+	case g.unsaved <- f:
+	default:
+		g.count("Quarantine.NotSaved")
+	}
+}
+
+// saveConvictions changes the store for each request that saveConviction names, until ctx
+// ends.
+func (g *Gateway) saveConvictions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-g.unsaved:
+			g.backoff.wait(ctx)
+			if err := g.saveOnce(ctx, f); err != nil {
+				g.logStoreFailure(ctx, "conviction", err)
+			}
+		}
+	}
+}
+
+// saveOnce stores a request's conviction with a lease if others may not find it there, and
+// deletes it if the request has been cleared. If another instance changes it first, that
+// is left as it is.
+func (g *Gateway) saveOnce(ctx context.Context, f quarantine.Fingerprint) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var targets []string
+	var stored store.Entry
+	unsaved, convicted := false, false
+	g.state.withLock(func() {
+		now := boot.Now()
+		targets, unsaved = g.state.strikes.Unsaved(now, f)
+		convicted = g.state.strikes.Remaining(now, f) > 0
+		stored, _ = g.state.mirror.Entry(convictionKey(f))
+	})
+	switch {
+	case !convicted && stored.Version != 0:
+		_, err := g.callStore(ctx, store.Delete{
+			Key:      stored.Key,
+			Expected: stored.Version,
+		})
+		return err
+	case !unsaved:
+		return nil
+	}
+	value, err := json.Marshal(convictionValue{
+		Targets: targets,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode conviction")
+	}
+	answer, err := g.callStore(ctx, store.GrantLease{
+		Term: quarantine.ConvictionTerm,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = g.callStore(ctx, store.Swap{
+		Key:      convictionKey(f),
+		Value:    value,
+		Expected: stored.Version,
+		Lease:    answer.(store.Leased).Lease,
+	})
+	return err
+}
+
+// applyConviction applies a changed or removed conviction of the store. outage says that
+// the store may have been unreachable, so that its lease may have expired too early.
+func (st *localState) applyConviction(now time.Duration, e store.Entry, outage bool) {
+	f, err := quarantine.ParseFingerprint(strings.TrimPrefix(e.Key, convictionPrefix))
+	if err != nil {
+		st.gateway.logger.Warn("invalid conviction ignored",
+			slog.String("Key", e.Key),
+			slog.String("Error", err.Error()))
+		return
+	}
+	var v convictionValue
+	switch {
+	case e.Version != 0:
+		// The key alone convicts the request. The value is only for operators.
+		_ = json.Unmarshal(e.Value, &v)
+		st.strikes.Stored(now, f, v.Targets)
+	case outage:
+		st.strikes.Unstored(f)
+	default:
+		st.strikes.Clear(f)
+	}
+	st.gateway.logger.Info("conviction changed",
+		slog.String("Fingerprint", f.String()),
+		slog.Int64("Counter", max(e.Version, e.RemovedAt)),
+		slog.Bool("Holds", e.Version != 0),
+		slog.Any("Targets", v.Targets),
+		slog.Bool("Outage", outage))
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -146,6 +146,8 @@
 			st.applyConfiguration(e)
 		case strings.HasPrefix(e.Key, st.gateway.adapters.TargetPrefix):
 			targetsChanged = st.applyTarget(now, e, outage) || targetsChanged
+		case strings.HasPrefix(e.Key, convictionPrefix):
+			st.applyConviction(now, e, outage)
 		case strings.HasPrefix(e.Key, memberPrefix):
 			st.applyMember(now, e, outage)
 			membersChanged = true
--- a/pkg/keepalive/policy.go
+++ b/pkg/keepalive/policy.go
@@ -23,11 +23,13 @@
 	Repeatable bool
 	// Retry is set if an earlier attempt at the request was sent.
 	Retry bool
+	// Suspect is set if the request may have crashed a target before.
+	Suspect bool
 }
 
 // MayReuse reports whether an attempt may be sent on a kept connection.
 func (p *Policy) MayReuse(now time.Duration, r Request) bool {
-	return r.Repeatable && !r.Retry && now >= p.pausedUntil
+	return r.Repeatable && !r.Retry && !r.Suspect && now >= p.pausedUntil
 }
 
 // RecordDeath records that a kept connection died without an answer, the given time
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/go-faster/errors"
 )
 
 // Outline is the digest of a request's organisation, route, method and path. It is
@@ -37,6 +39,15 @@
 	return Fingerprint(sum[:16])
 }
 
+// ParseFingerprint returns the fingerprint of its hexadecimal form.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(Fingerprint{}) {
+		return Fingerprint{}, errors.Errorf("%q is no fingerprint", text)
+	}
+	return Fingerprint(b), nil
+}
+
 // String returns the fingerprint in hexadecimal, as it appears in logs.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
--- a/pkg/quarantine/tally_test.go
+++ b/pkg/quarantine/tally_test.go
@@ -9,36 +9,115 @@
 	"dandelionmux/pkg/quarantine"
 )
 
+const now = time.Minute
+
+var f = quarantine.Fingerprint{1}
+
+// strike adds a strike of f by a new connection.
+func strike(tally *quarantine.Tally, target string) bool {
+	return tally.AddStrike(now, f, quarantine.TallyStrike{
+		Target: target,
+	})
+}
+
 // Three different targets must be reported for a request, not one target three
 // times.
 func TestTallyRefusesWhatCrashedThreeTargets(t *testing.T) {
 	is := is.New(t)
-	now := time.Minute
-	f := quarantine.Fingerprint{1}
 	tally := quarantine.NewTally()
-	tally.AddStrike(now, f, "desk-1")
-	tally.AddStrike(now, f, "desk-1") // reported by two instances
-	tally.AddStrike(now, f, "desk-2")
-	is.True(!tally.Quarantined(now, f))
-	tally.AddStrike(now, f, "desk-3")
-	is.True(tally.Quarantined(now, f))
-	is.True(!tally.Quarantined(now, quarantine.Fingerprint{2}))
-	is.True(!tally.Quarantined(now+2*time.Minute, f))
-	tally.Clear(f)
-	is.True(!tally.Quarantined(now, f))
+	is.True(!tally.Suspect(now, f))
+	is.True(!strike(tally, "desk-1"))
+	is.True(!strike(tally, "desk-1")) // reported by two instances
+	is.True(!strike(tally, "desk-2"))
+	is.Equal(tally.Remaining(now, f), time.Duration(0))
+	is.True(tally.Suspect(now, f))
+	is.True(strike(tally, "desk-3"))
+	is.True(!strike(tally, "desk-4")) // it was convicted before
+	is.Equal(tally.Remaining(now, f), quarantine.ConvictionTerm)
+	is.Equal(tally.Remaining(now, quarantine.Fingerprint{2}), time.Duration(0))
+	is.Equal(tally.Remaining(now+quarantine.ConvictionTerm, f), time.Duration(0))
+	is.True(tally.Clear(f))
+	is.Equal(tally.Remaining(now, f), time.Duration(0))
+	is.True(!tally.Suspect(now, f))
+}
+
+// Guards against a request that is sent again so seldom that its first strikes are
+// forgotten before the last one.
+func TestTallyCountsStrikesThatAreMinutesApart(t *testing.T) {
+	is := is.New(t)
+	tally := quarantine.NewTally()
+	for i, target := range []string{"desk-1", "desk-2", "desk-3"} {
+		convicted := tally.AddStrike(time.Duration(i+1)*4*time.Minute, f, quarantine.TallyStrike{
+			Target: target,
+		})
+		is.Equal(convicted, i == 2)
+	}
+}
+
+// Guards against requests that are refused because targets dropped their idle
+// connections, and against crashing requests that are never refused because each instance
+// sends them on a kept connection.
+func TestKeptConnectionsAloneConvictNobody(t *testing.T) {
+	is := is.New(t)
+	tally := quarantine.NewTally()
+	for _, target := range []string{"desk-1", "desk-2", "desk-3", "desk-4"} {
+		is.True(!tally.AddStrike(now, f, quarantine.TallyStrike{
+			Target: target,
+			Kept:   true,
+		}))
+	}
+	is.True(tally.Suspect(now, f)) // so it is sent on a new connection next
+	is.True(strike(tally, "desk-5"))
+}
+
+// Others need to clear a request only if one more strike would convict it there.
+func TestClearIsToldFromTheSecondStrike(t *testing.T) {
+	is := is.New(t)
+	tally := quarantine.NewTally()
+	is.True(!tally.Clear(f))
+	strike(tally, "desk-1")
+	is.True(!tally.Clear(f))
+	strike(tally, "desk-1")
+	strike(tally, "desk-2")
+	is.True(tally.Clear(f))
 }
 
-// The tally must not grow without bound, and lapsed strikes must make room for new
+// Guards against a conviction that new instances don't find, and against one that every
+// instance stores again with each refusal.
+func TestConvictionsAreStoredOnceAndRenewed(t *testing.T) {
+	is := is.New(t)
+	tally := quarantine.NewTally()
+	unsaved := func(at time.Duration) bool {
+		_, unsaved := tally.Unsaved(at, f)
+		return unsaved
+	}
+	is.True(!unsaved(now))
+	strike(tally, "desk-1")
+	strike(tally, "desk-2")
+	strike(tally, "desk-3")
+	is.True(unsaved(now))
+	targets, _ := tally.Unsaved(now, f)
+	is.Equal(targets, []string{"desk-1", "desk-2", "desk-3"})
+	tally.Stored(now, f, targets)
+	is.True(!unsaved(now + quarantine.ConvictionTerm/2))
+	is.True(unsaved(now + quarantine.ConvictionTerm*3/4))
+	tally.Unstored(f)
+	is.True(unsaved(now))
+	is.Equal(tally.Remaining(now, f), quarantine.ConvictionTerm)
+}
+
+// The tally must not grow without bound, and the oldest strikes must make room for new
 // ones.
 func TestTallyIsBounded(t *testing.T) {
 	is := is.New(t)
 	tally := quarantine.NewTally()
 	for i := range 100_000 {
-		tally.AddStrike(0, quarantine.Fingerprint{byte(i), byte(i >> 8), byte(i >> 16)}, "desk-1")
-	}
-	last := quarantine.Fingerprint{0xff, 0xff, 0xff}
-	for _, name := range []string{"desk-1", "desk-2", "desk-3"} {
-		tally.AddStrike(2*time.Minute, last, name) // the old ones are deleted
+		tally.AddStrike(0, quarantine.Fingerprint{byte(i), byte(i >> 8), byte(i >> 16)}, quarantine.TallyStrike{
+			Target: "desk-1",
+		})
 	}
-	is.True(tally.Quarantined(2*time.Minute, last))
+	is.True(!tally.Suspect(0, quarantine.Fingerprint{1})) // dropped
+	is.True(!strike(tally, "desk-1"))
+	is.True(!strike(tally, "desk-2"))
+	is.True(strike(tally, "desk-3"))
 }
