Keep to the limits that targets name, over the whole fleet

Cause: the header was not read. Its class is a limit over the whole fleet that no instance can keep alone: 1.1 a second from 32 instances is one request of each in 29 s.

An instance that sees a limit, a changed one or an answer without one tells all others. From then on each request to that target, be it a first attempt, a retry or one that tests a target on probation, needs the permission of the target's keeper, one instance of the fleet. Without it the choice is taken back, the target is left alone until the time that the keeper names, and another target is chosen, a failing one rather than a limited one. If none is left, the request is refused at once with that time as Retry-After. A keeper starts without units, so that a successor grants nothing twice. An instance that can't reach the keeper sends nothing. The limit ends with the first success that doesn't name it; a target that takes nothing gets a request each 10 s, to find that out.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/target"
 )
 
@@ -188,9 +190,36 @@
 		Outcome:     outcome,
 		Misdirected: a.response.StatusCode == http.StatusMisdirectedRequest,
 		Draining:    a.draining(),
+		Limit:       a.limit(outcome),
 	})
 }
 
+// limit returns what the answer says about the requests that the target takes. Only a
+// success without the header says that there is no limit.
+func (a *answer) limit(outcome target.Outcome) meter.TargetLimit {
+	header := a.attempt.exchange.handler.dialect.TargetLimitHeader
+	if header == "" || outcome == target.Truncated {
+		return meter.TargetLimit{}
+	}
+	text := a.response.Header.Get(header)
+	if text == "" {
+		if outcome != target.Succeeded {
+			return meter.TargetLimit{}
+		}
+		return meter.TargetLimit{
+			Kind: meter.Unlimited,
+		}
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return meter.TargetLimit{}
+	}
+	return meter.TargetLimit{
+		Kind:      meter.Limited,
+		PerSecond: perSecond,
+	}
+}
+
 // draining reports whether the target announces that it is leaving.
 func (a *answer) draining() bool {
 	drain := a.attempt.exchange.handler.dialect.DrainHeader
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -6,6 +6,7 @@
 
 	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
 )
@@ -102,6 +103,8 @@
 	Misdirected bool
 	// Draining is set if the target announced that it is leaving.
 	Draining bool
+	// Limit is what the answer says about the requests that the target takes.
+	Limit meter.TargetLimit
 }
 
 // Slot is a place for one attempt at a target.
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -24,6 +24,9 @@
 	// ExpectedTargetHeader carries the name of the target that an attempt is meant for, so
 	// that another one at the same address refuses it; empty if there is none.
 	ExpectedTargetHeader string
+	// TargetLimitHeader names, in a target's answer, the requests a second that the target
+	// takes from all instances together, as a decimal number; empty if there is none.
+	TargetLimitHeader string
 	// SignatureHeader must be present in each successful answer of a target, and is
 	// passed on to the caller; empty if targets don't sign their answers.
 	SignatureHeader string
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -47,48 +47,85 @@
 // dispatcher implements entry.Dispatcher.
 type dispatcher struct{ gateway *Gateway }
 
-// Acquire implements entry.Dispatcher.
+// Acquire implements entry.Dispatcher. A target that names a limit gets the request only
+// if its keeper permits that; if not, another target is chosen.
 func (d dispatcher) Acquire(ctx context.Context, request entry.SlotRequest) (entry.Slot, error) {
 	g := d.gateway
+	for {
+		acquired, limit := g.choose(request)
+		if acquired == nil {
+			return nil, g.noTarget(ctx, request)
+		}
+		if limit.Kind != meter.Limited {
+			acquired.start()
+			return acquired, nil
+		}
+		decision := g.requestAllowance(ctx, acquired.target.Name, limit)
+		if decision.Granted {
+			acquired.start()
+			return acquired, nil
+		}
+		if ctx.Err() != nil {
+			acquired.takeBack(0)
+			return nil, g.noTarget(ctx, request)
+		}
+		acquired.takeBack(decision.RetryAfter)
+	}
+}
+
+// choose chooses a target and returns a slot there, which has not started yet, and the
+// target's limit. The slot is nil if there is no target.
+func (g *Gateway) choose(request entry.SlotRequest) (*slot, meter.TargetLimit) {
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := boot.Now()
 	s := st.services[request.Service]
-	var chosen document.Target
-	ok := false
-	if s != nil {
-		chosen, ok = s.table.Choose(now, outlier.Request{
-			Repeatable: request.Repeatable,
-			Avoid:      request.TriedTargets,
-		})
+	if s == nil {
+		return nil, meter.TargetLimit{}
 	}
+	chosen, ok := s.table.Choose(now, outlier.Request{
+		Repeatable: request.Repeatable,
+		Avoid:      request.TriedTargets,
+	})
 	if !ok {
-		g.logger.Warn("service has no available target",
-			slog.String("Request", entry.RequestID(ctx)),
-			slog.String("Service", request.Service))
-		return nil, &entry.Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Reason:     "no-target",
-			RetryAfter: noTargetRetryAfter,
-		}
-	}
-	if len(request.TriedTargets) == 0 {
-		s.countRequest(now, g.settings.RetryWindow)
+		return nil, meter.TargetLimit{}
 	}
-	responseTimeout := s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective)
 	acquired := &slot{
 		gateway:         g,
 		service:         request.Service,
 		route:           request.Route.Name,
 		target:          chosen,
-		responseTimeout: responseTimeout,
+		first:           len(request.TriedTargets) == 0,
+		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
 	acquired.permit, _ = request.Permit.(*permit)
-	acquired.timer = time.AfterFunc(responseTimeout, acquired.reportOverdue)
-	return acquired, nil
+	return acquired, st.targetLimits.Limit(chosen.Name)
+}
+
+// noTarget refuses a request for which there is no target.
+func (g *Gateway) noTarget(ctx context.Context, request entry.SlotRequest) error {
+	refusal := &entry.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "no-target",
+		RetryAfter: noTargetRetryAfter,
+	}
+	g.state.withLock(func() {
+		s := g.state.services[request.Service]
+		if s == nil {
+			return
+		}
+		if held := s.table.HeldFor(boot.Now()); held > 0 {
+			refusal.Reason, refusal.RetryAfter = "targets-limited", held
+		}
+	})
+	g.logger.Warn("service has no available target",
+		slog.String("Request", entry.RequestID(ctx)),
+		slog.String("Service", request.Service),
+		slog.String("Reason", refusal.Reason))
+	return refusal
 }
 
 // countRequest counts a request for the retry budget. It starts again at zero if the
@@ -150,6 +187,8 @@
 	timer           *time.Timer
 	// targetCounts is the state of the service's targets when this one was chosen.
 	targetCounts outlier.Counts
+	// first is set if this is the request's first attempt.
+	first bool
 	// permit is that of the request, or nil.
 	permit *permit
 	// inUse is the number of requests running at the target at that time, including
@@ -157,6 +196,30 @@
 	inUse int
 }
 
+// start counts the attempt and begins to wait for its answer.
+func (sl *slot) start() {
+	g := sl.gateway
+	if sl.first {
+		g.state.withLock(func() {
+			if s := g.state.services[sl.service]; s != nil {
+				s.countRequest(boot.Now(), g.settings.RetryWindow)
+			}
+		})
+	}
+	sl.timer = time.AfterFunc(sl.responseTimeout, sl.reportOverdue)
+}
+
+// takeBack gives the slot back without an attempt. The target isn't chosen again for the
+// time.
+func (sl *slot) takeBack(hold time.Duration) {
+	g := sl.gateway
+	g.state.withLock(func() {
+		if s := g.state.services[sl.service]; s != nil {
+			s.table.Hold(boot.Now()+hold, sl.target.Name)
+		}
+	})
+}
+
 // ChoiceAttrs implements entry.Explainer.
 func (sl *slot) ChoiceAttrs() []slog.Attr {
 	return []slog.Attr{
@@ -208,6 +271,7 @@
 func (sl *slot) Release(e entry.AttemptResult) {
 	sl.timer.Stop()
 	g := sl.gateway
+	g.recordLimit(sl.target.Name, e.Limit)
 	notify := false
 	outcome := sl.effectiveOutcome(e)
 	g.state.withLock(func() {
@@ -260,17 +324,25 @@
 
 // sendToFleet sends a report to all instances: directly to those of the own zone, and to
 // one of each other zone, which forwards it.
-func (g *Gateway) sendToFleet(m failureReport) {
-	g.sendToZone(m)
+func (g *Gateway) sendToFleet(m fleetReport) {
+	g.sendToZone(m.forwarded(false))
 	// The text "news" ranks the instances that forward reports to their zone. It is
 	// hashed, so it must be the same on all instances.
 	var forwarders []instance.Address
 	g.state.withLock(func() {
-		forwarders = g.state.roster.RemoteKeepers("news", m.Target, g.state.unresponsive)
+		forwarders = g.state.roster.RemoteKeepers("news", m.targetName(), g.state.unresponsive)
 	})
-	m.Forward = true
 	for _, a := range forwarders {
-		g.send(a, m)
+		g.send(a, m.forwarded(true))
+	}
+}
+
+// forwardToZone passes a report of another instance on to the other instances of the zone.
+func (g *Gateway) forwardToZone(from instance.Address, m fleetReport) {
+	var peers []instance.Address
+	g.state.withLock(func() { peers = g.state.zonePeers(from) })
+	for _, a := range peers {
+		g.send(a, m.forwarded(false))
 	}
 }
 
@@ -377,16 +449,12 @@
 // to the zone if asked to.
 func (g *Gateway) handleFailureReport(from instance.Address, m failureReport) {
 	now := boot.Now()
-	var peers []instance.Address
 	ejected := false
 	g.state.withLock(func() {
 		if s := g.state.services[m.Service]; s != nil {
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
 			ejected = s.table.Ejected(now, m.Target)
 		}
-		if m.Forward {
-			peers = g.state.zonePeers(from)
-		}
 	})
 	if m.Suspect != (quarantine.Fingerprint{}) {
 		g.handleSuspect(m)
@@ -397,8 +465,7 @@
 		slog.String("Target", m.Target),
 		slog.String("Outcome", m.Outcome.String()),
 		slog.Bool("Out", ejected))
-	m.Forward = false
-	for _, a := range peers {
-		g.send(a, m)
+	if m.Forward {
+		g.forwardToZone(from, m)
 	}
 }
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -171,6 +171,28 @@
 			},
 			want: "080668a01f",
 		},
+		{
+			name: "limit",
+			m: limitReport{
+				Target: "desk-1",
+				Limit: meter.TargetLimit{
+					Kind:      meter.Limited,
+					PerSecond: 1.3,
+				},
+				Forward: true,
+			},
+			want: "080822066465736b2d31300128940a5801",
+		},
+		{
+			name: "ask for a limited target",
+			m: decisionRequest{
+				Number: 8,
+				Kind:   targetLimit,
+				Name:   "desk-1",
+				Amount: 1300,
+			},
+			want: "08011008180322066465736b2d3128940a5800",
+		},
 		{
 			name: "retries",
 			m: retryReport{
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -95,7 +95,8 @@
 // keeper returns the instance that decides about a limit. A rate has one keeper for the
 // whole fleet, because a rate split between keepers rejects requests at one while
 // another has units left; the zone's keeper stands in while that one is unresponsive. A
-// retry budget has one keeper in each zone.
+// retry budget has one keeper in each zone. The limit of a target has one in the whole
+// fleet, and nobody stands in for it.
 func (g *Gateway) keeper(k limitKind, name string) instance.Address {
 	st := g.state
 	st.mu.Lock()
@@ -104,7 +105,7 @@
 		return st.roster.CountingKeeper(boot.Now(), k.String(), name, st.unresponsive, st.ages, g.settings.RetryWindow)
 	}
 	keeper := st.roster.FleetKeeper(k.String(), name)
-	if st.unresponsive(keeper) {
+	if k == organisationRate && st.unresponsive(keeper) {
 		keeper = st.roster.ZoneKeeper(k.String(), name, st.unresponsive)
 	}
 	return keeper
@@ -183,16 +184,19 @@
 	return decision
 }
 
-// takeUnits takes the requested units from a rate, or a retry from a retry budget. An
-// organisation without a rate is not limited.
+// takeUnits takes the requested units from a rate, a retry from a retry budget or a request
+// from a target's limit. An organisation without a rate is not limited.
 func (g *Gateway) takeUnits(request decisionRequest) meter.Decision {
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := boot.Now()
 	zones := st.zones(now)
-	if request.Kind == retryBudget {
+	switch request.Kind {
+	case retryBudget:
 		return st.takeRetry(now, request, zones)
+	case targetLimit:
+		return st.targetLimits.Take(now, request.Name, targetLimitOf(request.Amount))
 	}
 	rate, ok := st.rateOf(request.Name)
 	if !ok {
--- a/internal/gateway/keeper_internal_test.go
+++ b/internal/gateway/keeper_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -65,3 +66,49 @@
 		})
 	}
 }
+
+// Guards against instances that send a limited target what each of them thinks right while
+// its keeper can't be reached.
+func TestLimitedTargetGetsNothingWithoutItsKeeper(t *testing.T) {
+	is := is.New(t)
+	own, err := listenDatagrams("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = own.Close() }()
+	silent, err := listenDatagrams("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	g := &Gateway{
+		datagrams: own,
+		pending:   newPendingRequests(),
+		registry:  metrics.NewRegistry(),
+		logger:    slog.New(slog.DiscardHandler),
+		self: instance.Info{
+			ID: instance.ID{
+				Address: instance.Address(own.LocalAddr().String()),
+			},
+			Zone: "a",
+		},
+	}
+	g.state = newLocalState(g)
+	keeper := instance.Address(silent.LocalAddr().String())
+	g.state.members[g.self.Address] = member{Info: g.self}
+	g.state.members[keeper] = member{
+		Info: instance.Info{
+			ID: instance.ID{
+				Address: keeper,
+			},
+			Zone: "b",
+		},
+	}
+	g.state.rebuildRoster()
+	name := "desk-0"
+	for i := 1; g.keeper(targetLimit, name) != keeper; i++ {
+		name = fmt.Sprint("desk-", i)
+	}
+	for range 2 {
+		decision := g.requestAllowance(context.Background(), name, targetLimitOf(5000))
+		is.True(!decision.Granted)
+		is.True(decision.RetryAfter > 0)
+	}
+	is.Equal(g.keeper(targetLimit, name), keeper) // nobody stands in for it
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -15,19 +15,20 @@
 )
 
 // message is a datagram between instances: a decisionRequest, decisionResponse,
-// failureReport, loanRequests, loanOffers, loadReport or retryReport.
+// failureReport, loanRequests, loanOffers, loadReport, retryReport or limitReport.
 type message interface{ message() }
 
-// decisionRequest asks a keeper for units of an organisation's rate or for a retry from
-// a service's retry budget.
+// decisionRequest asks a keeper for units of an organisation's rate, for a retry from a
+// service's retry budget, or for a request to a target that names a limit.
 type decisionRequest struct {
 	// Number is chosen by the sender and returned in the response.
 	Number uint64
 	Kind   limitKind
-	// Name is the organisation or the service.
+	// Name is the organisation, the service or the target.
 	Name string
-	// Amount is the cost of the request in units for a rate, or the number of requests
-	// begun since the last decision request for a retry budget.
+	// Amount is the cost of the request in units for a rate, the number of requests
+	// begun since the last decision request for a retry budget, or the limit in requests
+	// per 1000 s for a target.
 	Amount int
 	// Over is the time over which Amount requests were begun, for a retry budget.
 	Over time.Duration
@@ -61,6 +62,37 @@
 	Forward bool
 }
 
+// limitReport reports the limit that a target has named, or that it has none any more.
+type limitReport struct {
+	Target string
+	Limit  meter.TargetLimit
+	// Forward is as in failureReport.
+	Forward bool
+}
+
+// fleetReport is a message to all instances. The instances of other zones get it from one
+// of them.
+type fleetReport interface {
+	message
+	// forwarded returns the report with the field Forward set to the value.
+	forwarded(forward bool) message
+	// targetName returns the target that the report is about.
+	targetName() string
+}
+
+func (m failureReport) forwarded(forward bool) message {
+	m.Forward = forward
+	return m
+}
+
+func (m limitReport) forwarded(forward bool) message {
+	m.Forward = forward
+	return m
+}
+
+func (m failureReport) targetName() string { return m.Target }
+func (m limitReport) targetName() string   { return m.Target }
+
 // loanRequests lists the parts of organisations' rates that a keeper wants to borrow
 // from other zones.
 type loanRequests struct {
@@ -130,6 +162,7 @@
 func (loanOffers) message()       {}
 func (loadReport) message()       {}
 func (retryReport) message()      {}
+func (limitReport) message()      {}
 
 // limitKind is a kind of limit that a keeper decides about.
 type limitKind uint64
@@ -138,14 +171,19 @@
 const (
 	organisationRate limitKind = iota + 1
 	retryBudget
+	targetLimit
 )
 
 // String returns the kind's name, which is used in logs and for ranking keepers.
 func (k limitKind) String() string {
-	if k == organisationRate {
+	switch k {
+	case organisationRate:
 		return "rate"
+	case targetLimit:
+		return "limit"
+	default:
+		return "budget"
 	}
-	return "budget"
 }
 
 // Types of datagrams.
@@ -157,11 +195,12 @@
 	loanOffersType
 	loadReportType
 	retryReportType
+	limitReportType
 )
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
-// instance address or a zone, fieldAmount a fraction in parts per million or a number of
-// retries, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
+// instance address or a zone, fieldAmount a fraction in parts per million, a number of
+// retries or a limit per 1000 s, fieldGranted whether a target names a limit, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
 // fieldForward, in an item of loanRequests, the flag FleetKeeper. fieldRetryAfter and
 // fieldOver are in milliseconds.
 const (
@@ -212,15 +251,6 @@
 		b = appendNumber(b, fieldNumber, m.Number)
 		b = appendNumber(b, fieldGranted, protowire.EncodeBool(m.Granted))
 		return appendNumber(b, fieldRetryAfter, uint64(m.RetryAfter.Milliseconds()))
-	case failureReport:
-		b := appendNumber(nil, fieldType, failureReportType)
-		b = appendText(b, fieldService, m.Service)
-		b = appendText(b, fieldName, m.Target)
-		b = appendNumber(b, fieldOutcome, uint64(m.Outcome))
-		if m.Suspect != (quarantine.Fingerprint{}) {
-			b = appendText(b, fieldSuspect, string(m.Suspect[:]))
-		}
-		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	case loanRequests:
 		b := appendNumber(nil, fieldType, loanRequestsType)
 		for _, r := range m.Requests {
@@ -235,6 +265,23 @@
 			b = appendText(b, fieldItem, string(encodeLoan(o.Organisation, o.Zone, o.Fraction, o.SentAt)))
 		}
 		return b
+	default:
+		return encodeReport(m)
+	}
+}
+
+// encodeReport returns the wire form of a report.
+func encodeReport(m message) []byte {
+	switch m := m.(type) {
+	case failureReport:
+		b := appendNumber(nil, fieldType, failureReportType)
+		b = appendText(b, fieldService, m.Service)
+		b = appendText(b, fieldName, m.Target)
+		b = appendNumber(b, fieldOutcome, uint64(m.Outcome))
+		if m.Suspect != (quarantine.Fingerprint{}) {
+			b = appendText(b, fieldSuspect, string(m.Suspect[:]))
+		}
+		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	case loadReport:
 		b := appendNumber(nil, fieldType, loadReportType)
 		for _, l := range m.Loads {
@@ -251,10 +298,29 @@
 			b = appendText(b, fieldItem, string(appendNumber(item, fieldNumber, t.Requests)))
 		}
 		return appendAge(b, m.Age)
+	case limitReport:
+		b := appendNumber(nil, fieldType, limitReportType)
+		b = appendText(b, fieldName, m.Target)
+		b = appendNumber(b, fieldGranted, protowire.EncodeBool(m.Limit.Kind == meter.Limited))
+		b = appendNumber(b, fieldAmount, uint64(wireLimit(m.Limit)))
+		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	}
 	return nil
 }
 
+// wireLimit returns a limit in requests per 1000 s.
+func wireLimit(l meter.TargetLimit) int {
+	return int(math.Round(min(l.PerSecond*1000, math.MaxInt32)))
+}
+
+// targetLimitOf returns the limit that is sent as a number of requests per 1000 s.
+func targetLimitOf(per1000s int) meter.TargetLimit {
+	return meter.TargetLimit{
+		Kind:      meter.Limited,
+		PerSecond: float64(per1000s) / 1000,
+	}
+}
+
 // encodeLoan returns the wire form of a loan request or offer: a fraction of an
 // organisation's rate.
 func encodeLoan(organisation, zone string, fraction float64, sentAt time.Duration) []byte {
@@ -367,6 +433,8 @@
 		return f.loadReport(), nil
 	case retryReportType:
 		return f.retryReport(), nil
+	case limitReportType:
+		return f.limitReport(), nil
 	}
 	return nil, errors.Wrapf(errMalformed, "unknown type %d", f.numbers[fieldType])
 }
@@ -430,3 +498,17 @@
 	}
 	return m
 }
+
+func (f *fields) limitReport() limitReport {
+	m := limitReport{
+		Target: f.texts[fieldName],
+		Limit: meter.TargetLimit{
+			Kind: meter.Unlimited,
+		},
+		Forward: protowire.DecodeBool(f.numbers[fieldForward]),
+	}
+	if protowire.DecodeBool(f.numbers[fieldGranted]) {
+		m.Limit = targetLimitOf(int(min(f.numbers[fieldAmount], math.MaxInt32)))
+	}
+	return m
+}
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -85,6 +85,26 @@
 				}},
 			},
 		},
+		{
+			name: "limit report",
+			m: limitReport{
+				Target: "desk-1",
+				Limit: meter.TargetLimit{
+					Kind:      meter.Limited,
+					PerSecond: 1.3,
+				},
+				Forward: true,
+			},
+		},
+		{
+			name: "report that a limit has ended",
+			m: limitReport{
+				Target: "desk-1",
+				Limit: meter.TargetLimit{
+					Kind: meter.Unlimited,
+				},
+			},
+		},
 		{
 			name: "retry report",
 			m: retryReport{
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -83,6 +83,8 @@
 		g.handleLoanOffers(m)
 	case loadReport:
 		g.handleLoadReport(from, m)
+	case limitReport:
+		g.handleLimitReport(from, m)
 	case retryReport:
 		g.handleRetryReport(from, m)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -58,7 +58,9 @@
 	// localRates decides about rates while no keeper can be reached.
 	localRates *meter.LocalRates
 	budgets    *meter.Budget
-	strikes    *quarantine.Tally
+	// targetLimits holds the limits that targets have named.
+	targetLimits *meter.TargetLimits
+	strikes      *quarantine.Tally
 	// unresponsiveUntil holds the instances that did not answer a decision request,
 	// and staleUntil the readers that could not be copied or have outdated data, each
 	// with the time until which it is skipped. The two are separate because a reader
@@ -110,6 +112,7 @@
 			Base:  g.settings.BaseRetries,
 			Span:  g.settings.RetryWindow,
 		}),
+		targetLimits:      meter.NewTargetLimits(),
 		strikes:           quarantine.NewTally(),
 		unresponsiveUntil: map[instance.Address]time.Duration{},
 		staleUntil:        map[instance.Address]time.Duration{},
@@ -289,6 +292,7 @@
 // updateTables updates the services' target tables from the registered targets.
 func (st *localState) updateTables(now time.Duration) {
 	services := st.targets.Services()
+	st.targetLimits.Retain(st.targets.Has)
 	for name, s := range st.services {
 		s.table.Update(now, services[name])
 	}
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -52,12 +52,6 @@
 	// maxFractionFactor times an even split is the most of a rate that a zone takes as
 	// its own when it knows only a few instances, as after a start.
 	maxFractionFactor = 1.3
-	// minPerSecond is the least rate that waits are computed with, in units a second,
-	// so that they stay finite.
-	minPerSecond = 0.01
-	// minRetryAfter and maxRetryAfter bound Decision.RetryAfter.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
 )
 
 // Rates enforces organisations' rates on one instance: the fraction of its zone, and
@@ -99,14 +93,11 @@
 
 // bucket is an instance's token bucket for one organisation's rate.
 type bucket struct {
-	level    float64
-	filledAt time.Duration
-	demand   *Window
+	tokens
+	demand *Window
 	// granted counts the units granted over the tolerance's span. It is nil if the
 	// span is zero.
 	granted *Window
-	// lastRetry is the latest time for which a retry of a refused request is scheduled.
-	lastRetry time.Duration
 	// requestedAt is when loans were last requested from the other zones. It is zero
 	// if none were since this instance became a keeper.
 	requestedAt time.Duration
@@ -236,19 +227,6 @@
 	return decision
 }
 
-// scheduleRetry schedules the retry of a refused request after the retries already
-// scheduled, and returns how long until its units are available. If all requests were
-// retried at once, most would be refused again.
-func (b *bucket) scheduleRetry(now time.Duration, cost, perSecond float64) time.Duration {
-	missing := cost - b.level
-	if b.lastRetry > now {
-		missing = cost
-	}
-	b.lastRetry = max(b.lastRetry, now) + time.Duration(missing/max(perSecond, minPerSecond)*float64(time.Second))
-	b.lastRetry = min(b.lastRetry, now+maxRetryAfter)
-	return max(b.lastRetry-now, minRetryAfter)
-}
-
 // bucket returns the organisation's bucket and creates it on first use.
 func (r *Rates) bucket(now time.Duration, rate document.Rate, role Role, zones Zones) *bucket {
 	b := r.buckets[rate.Organisation]
@@ -258,8 +236,10 @@
 			part = 1
 		}
 		b = &bucket{
-			level:    max(float64(rate.Burst)*part*initialBurstPercent/100, 1),
-			filledAt: now,
+			tokens: tokens{
+				level:    max(float64(rate.Burst)*part*initialBurstPercent/100, 1),
+				filledAt: now,
+			},
 			demand:   NewWindow(demandSpan),
 			lent:     map[string]loan{},
 			borrowed: map[string]loan{},
@@ -299,9 +279,7 @@
 func (r *Rates) fill(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
 	part := b.fraction(now, zones)
 	perSecond := r.tolerance.fillRate(rate) * part
-	burst := max(float64(rate.Burst)*part, 1)
-	b.level = min(b.level+perSecond*(now-b.filledAt).Seconds(), burst)
-	b.filledAt = now
+	b.fill(now, perSecond, max(float64(rate.Burst)*part, 1))
 	return perSecond
 }
 
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -17,6 +17,10 @@
 // are left, those that are only slow, full or returning server errors are used first,
 // then those whose failures are the oldest.
 //
+// A target may limit the requests that it takes from all instances together. Package meter
+// decides whether it may get one more. If not, its choice is taken back with Hold, and
+// other targets are chosen until it may be asked for again.
+//
 // The instances of a zone tell each other several times a second how many
 // requests they have in flight at each target. Requests stay in the instance's
 // own zone while a target there has a free slot, and go to the less loaded of two
@@ -27,7 +31,9 @@
 //	t := outlier.New("a", random)
 //	t.Update(now, registrations)
 //	chosen, ok := t.Choose(now, outlier.Request{Repeatable: true})
-//	// Send the request, then:
+//	// If the target has named a limit and may get no more requests:
+//	t.Hold(now+retryAfter, chosen.Name)
+//	// Else send the request, then:
 //	if t.Done(now, chosen.Name, outcome) {
 //		// Broadcast the outcome; the other instances call ReceiveOutcome.
 //	}
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -90,6 +90,9 @@
 	lostRequests bool
 	// pausedUntil is the end of the pause after a shed request.
 	pausedUntil time.Duration
+	// heldUntil is when this instance may next ask to use the target, which limits the
+	// requests that it takes.
+	heldUntil time.Duration
 	// errorCount is the number of the target's entries in Table.errors.
 	errorCount int
 }
@@ -174,7 +177,7 @@
 		}
 		all++
 		switch {
-		case slices.Contains(r.Avoid, s.Name):
+		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
 		case now < s.ejectedUntil || now < s.pausedUntil:
@@ -194,6 +197,34 @@
 	return fill(healthy, ejected, percentOf(all, minUsablePercent))
 }
 
+// Hold takes back the choice of a target that takes no more requests for now. The
+// instance won't choose it before the given time, not even if the others are too few.
+func (t *Table) Hold(until time.Duration, name string) {
+	if s := t.targets[name]; s != nil {
+		s.running = max(s.running-1, 0)
+		s.heldUntil = until
+	}
+}
+
+// EndHold lets a held target be chosen again.
+func (t *Table) EndHold(name string) {
+	if s := t.targets[name]; s != nil {
+		s.heldUntil = 0
+	}
+}
+
+// HeldFor returns how long until the first held target may be chosen again, and zero if
+// none is held.
+func (t *Table) HeldFor(now time.Duration) time.Duration {
+	least := time.Duration(0)
+	for _, s := range t.order {
+		if d := s.heldUntil - now; d > 0 && !s.Leaving && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
 // percentOf returns the given percentage of all, rounded up and at least one.
 func percentOf(all, percent int) int { return max((all*percent+99)/100, 1) }
 
@@ -438,7 +469,9 @@
 	OnProbation int
 	// Unavailable counts targets that are ejected or paused after shedding a request.
 	Unavailable int
-	Leaving     int
+	// Held counts targets that may take no more requests of this instance for now.
+	Held    int
+	Leaving int
 }
 
 // Counts returns the number of targets in each state, for logs and metrics.
@@ -448,6 +481,8 @@
 		switch {
 		case s.Leaving:
 			c.Leaving++
+		case now < s.heldUntil:
+			c.Held++
 		case now < s.ejectedUntil || now < s.pausedUntil:
 			c.Unavailable++
 		case now < s.probationUntil:
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -473,3 +473,42 @@
 		is.True(unused*100 <= sound*(100-floorPercent))
 	}
 }
+
+// Guards against a target that gets more requests than its limit because too few others
+// are left, and against choices of held targets that count as load for ever.
+func TestHeldTargetIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	table := newTable(3)
+	any := outlier.Request{
+		Repeatable: true,
+	}
+	for _, name := range []string{"desk-01", "desk-02"} {
+		table.ReceiveOutcome(now, name, target.Crashed)
+	}
+	c, ok := table.Choose(now, any)
+	is.True(ok)
+	table.Hold(now+2*time.Second, "desk-00")
+	is.Equal(c.Name, "desk-00") // the only healthy one
+	is.Equal(table.InUse(now, "desk-00"), 0)
+	is.Equal(table.HeldFor(now), 2*time.Second)
+	is.Equal(table.Counts(now).Held, 1)
+	is.Equal(chosen(table, now, any)["desk-00"], 0) // rather one that has just failed
+	any.Avoid = []string{"desk-01", "desk-02"}
+	is.Equal(chosen(table, now, any)["desk-00"], 0) // rather one that was tried before
+	is.True(chosen(table, now+2*time.Second, any)["desk-00"] > 0)
+	table.Hold(now+2*time.Second, "desk-00")
+	table.EndHold("desk-00")
+	is.True(chosen(table, now, any)["desk-00"] > 0)
+}
+
+// Guards against requests that wait, or go to a target beyond its limit, if all targets
+// have a limit.
+func TestNoTargetIsChosenIfAllAreHeld(t *testing.T) {
+	is := is.New(t)
+	table := newTable(2)
+	table.Hold(now+3*time.Second, "desk-00")
+	table.Hold(now+time.Second, "desk-01")
+	_, ok := table.Choose(now, outlier.Request{})
+	is.True(!ok)
+	is.Equal(table.HeldFor(now), time.Second)
+}
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -72,6 +72,12 @@
 	return changed
 }
 
+// Has reports whether there is a target with the name, including missing ones.
+func (r *Registry) Has(name string) bool {
+	_, ok := r.targets[name]
+	return ok
+}
+
 // Len returns the number of targets, including missing ones.
 func (r *Registry) Len() int { return len(r.targets) }
 
