--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -20,6 +20,10 @@
 // by that of another attempt, or by a refusal.
 const maxPrefixBytes = 64 << 10
 
+// maxUndeclaredBytes is the size at which an answer without a declared length is broken
+// off: a failing target may send bytes without end.
+const maxUndeclaredBytes = 64 << 20
+
 // copyBufferBytes is the buffer size for relaying the rest of a longer answer.
 const copyBufferBytes = 32 << 10
 
@@ -284,12 +288,20 @@
 	x.writer.WriteHeader(a.response.StatusCode)
 }
 
+// errAnswerTooLong says that an answer had more than maxUndeclaredBytes.
+var errAnswerTooLong = errors.New("answer too long")
+
 // relayRest sends the rest of the body. If the target's answer breaks off now, the
 // answer to the caller is aborted as well.
 func (x *exchange) relayRest(a *answer) error {
 	buffer := make([]byte, copyBufferBytes)
+	relayed := len(a.prefix)
 	for {
 		n, err := a.response.Body.Read(buffer)
+		if relayed += n; a.response.ContentLength < 0 && relayed > maxUndeclaredBytes {
+			a.finish(target.Truncated)
+			return x.abort(a, "answer-too-long", errAnswerTooLong)
+		}
 		if n > 0 {
 			if _, writeErr := x.writer.Write(buffer[:n]); writeErr != nil {
 				return x.abort(a, "caller-gone", writeErr)
