Don't take a malformed answer for a crash of the target

A request that three targets answered with bytes that are no answer was refused as one that crashes targets. Cause: an attempt that failed in the head of the answer counted as Crashed, although the target had begun to answer. Now it counts as Truncated, which ejects the target but is no strike. TestMalformedAnswerIsNoCrash failed before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -369,6 +369,12 @@
 		return p.unsentFailure(err)
 	case ctx.Err() != nil:
 		return p.timeoutFailure()
+	case err.Malformed:
+		return failedAttempt{
+			outcome:    target.Truncated,
+			mayHaveRun: true,
+			refusal:    mayHaveRunRefusal("answer-malformed"),
+		}
 	case err.Reused && p.exchange.handler.recordDeadConnection(time.Since(p.began)):
 		return failedAttempt{
 			outcome:    target.Disconnected,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +14,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/standin"
+	"dandelionmux/pkg/document"
 )
 
 // Whatever a target does with a POST, the request runs at most once, and the caller
@@ -283,6 +285,40 @@
 	is.Equal(env.executions("e1"), 1)
 }
 
+// Guards against a request that is quarantined because targets answered it with bytes that
+// are no answer: they haven't crashed.
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = c.Write([]byte("bytes that are no answer\r\n\r\n"))
+			_ = c.Close()
+		}
+	}()
+	env := newTestEnv(t, 0)
+	env.document.Services[0].Targets = []document.Target{{
+		Name:        "desk-malformed",
+		Address:     listener.Addr().String(),
+		Zone:        "a",
+		Slots:       6,
+		Connections: 350,
+	}}
+	env.publish()
+	for range 5 {
+		got := env.call(http.MethodPost, "/bookings", "tanker")
+		is.Equal(got.status, http.StatusBadGateway) // never 503 quarantined
+		is.Equal(got.header.Get(entry.ReasonHeader), "answer-malformed")
+	}
+}
+
 func TestCrashingRequestCrashesAtMostTwoTargets(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t, 5)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -161,7 +161,9 @@
 	// is then how long it had been idle.
 	Reused bool
 	Rested time.Duration
-	cause  error
+	// Malformed is set if the target sent something that is no response.
+	Malformed bool
+	cause     error
 }
 
 // Error implements error.
@@ -181,8 +183,10 @@
 	// Error. They are written before conn is stored.
 	reused bool
 	rested time.Duration
-	// sent is set before the first byte is written.
-	sent atomic.Bool
+	// sent is set before the first byte is written, and answered after the first byte of
+	// the response was read.
+	sent     atomic.Bool
+	answered atomic.Bool
 	// gateErr is the error that the gate returned, if it did.
 	gateErr atomic.Pointer[error]
 }
@@ -203,6 +207,7 @@
 			}
 			s.conn.Store(assigned)
 		},
+		GotFirstResponseByte: func() { s.answered.Store(true) },
 	}
 	out := a.Request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	out.URL.Scheme = "http"
@@ -242,6 +247,7 @@
 	switch {
 	case s.sent.Load():
 		failure.Stage = Sent
+		failure.Malformed = s.answered.Load() && !failure.ContextDone
 	case s.gateErr.Load() != nil:
 		failure.Stage = Gated
 		failure.cause = *s.gateErr.Load()
