Don't use a target again that has left, for an earlier registration of it

A store that comes back with a copy some seconds old shows registrations that have been superseded or removed since. The registry remembers for a minute how a target left, and takes only a newer registration.

--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,30 +12,48 @@
 // register again within two seconds of its return.
 const reregistrationTimeout = 2 * time.Second
 
+// departureTerm is how long a target that has left is remembered. A store that was set
+// back shows what it held some seconds earlier.
+const departureTerm = time.Minute
+
 // Registry holds the targets that have registered themselves. It is not safe for
 // concurrent use.
 type Registry struct {
 	targets map[string]Registration
+	// departed holds the last registrations of targets that have left, with the time at
+	// which they are forgotten.
+	departed map[string]departure
 	// missing holds the targets whose registration expired around an outage, with the
 	// time at which they are removed.
 	missing map[string]time.Duration
 }
 
+// departure is the last registration of a target that has left.
+type departure struct {
+	Registration
+	until time.Duration
+}
+
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		targets: map[string]Registration{},
-		missing: map[string]time.Duration{},
+		targets:  map[string]Registration{},
+		departed: map[string]departure{},
+		missing:  map[string]time.Duration{},
 	}
 }
 
-// Put stores a registration unless it is older than the stored one. It reports whether
-// it was stored.
+// Put stores a registration unless it is older than the stored one, or no newer than the
+// last one of a target that has left. It reports whether it was stored.
 func (r *Registry) Put(reg Registration) bool {
 	name := reg.Target.Name
 	if old, ok := r.targets[name]; ok && !reg.Supersedes(old) {
 		return false
 	}
+	if old, ok := r.departed[name]; ok && old.Supersedes(reg) {
+		return false
+	}
+	delete(r.departed, name)
 	r.targets[name] = reg
 	delete(r.missing, name)
 	return true
@@ -56,11 +75,16 @@
 	}
 	delete(r.targets, name)
 	delete(r.missing, name)
+	r.departed[name] = departure{
+		Registration: reg,
+		until:        now + departureTerm,
+	}
 }
 
 // Expire removes the missing targets that haven't registered again in time. It reports
 // whether there were any.
 func (r *Registry) Expire(now time.Duration) bool {
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now >= d.until })
 	changed := false
 	for name, until := range r.missing {
 		if now >= until {
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -80,3 +80,23 @@
 	is.Equal(len(r.Services()["desk"]), 1)
 	is.Equal(r.Services()["desk"][0].Target.Name, "desk-1")
 }
+
+// Guards against requests to a target that has left because the store shows one of its
+// earlier registrations again.
+func TestTargetThatHasLeftComesBackOnlyWithANewRegistration(t *testing.T) {
+	is := is.New(t)
+	r := target.NewRegistry()
+	is.True(r.Put(registered("desk-1", 100, 5, true)))
+	r.Remove(time.Minute, "desk-1", true)
+	is.True(!r.Put(registered("desk-1", 100, 4, false)))
+	is.True(!r.Put(registered("desk-1", 100, 5, false)))
+	is.Equal(r.Len(), 0)
+	r.Expire(time.Minute + 59*time.Second)
+	is.True(!r.Put(registered("desk-1", 100, 4, false)))
+	is.True(r.Put(registered("desk-1", 100, 6, false))) // it lives
+	r.Remove(3*time.Minute, "desk-1", false)
+	is.True(r.Put(registered("desk-1", 200, 0, false))) // a later run
+	r.Remove(5*time.Minute, "desk-1", false)
+	r.Expire(6 * time.Minute)
+	is.True(r.Put(registered("desk-1", 100, 4, false))) // forgotten
+}
