Follow a store that comes back with an earlier content

After the platform's store had come back from a copy some seconds old, changes were in force nowhere: revisions go back and are given out again, and the mirrors took them for changes that they had seen, and confirmed themselves with them. So keys that were withdrawn then stayed in use.

Each answer of the store has its era now, and a mirror compares counters of the same era only. It takes in a new era by a complete list, and passes it on to followers whole. What is missing then is treated as after an outage. The configuration isn't trusted anew for two seconds, until those who wrote what was lost have written it again: a withdrawal that was lost with it would be confirmed away. Readers write lost convictions again.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -36,9 +36,27 @@
 	entries map[string]store.Entry
 	events  []store.Entry
 	leases  store.LeaseID
+	era     store.Era
 	changed chan struct{}
 }
 
+// setBack makes the store hold earlier entries again, as if it had written nothing since.
+func (m *memoryStore) setBack(entries map[string]store.Entry, counter int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries, m.counter, m.events = maps.Clone(entries), counter, nil
+	m.era++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// content returns what the store holds, and its counter.
+func (m *memoryStore) content() (map[string]store.Entry, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.entries), m.counter
+}
+
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
 		counter: 1,
@@ -113,22 +131,26 @@
 		return store.Value{
 			Entry:   m.entries[c.Key],
 			Counter: m.counter,
+			Era:     m.era,
 		}, nil
 	case store.List:
 		return store.Entries{
 			Entries: slices.Collect(maps.Values(m.entries)),
 			Counter: m.counter,
+			Era:     m.era,
 		}, nil
 	case store.GrantLease:
 		m.leases++
 		return store.Leased{
 			Lease: m.leases,
 			Term:  c.Term,
+			Era:   m.era,
 		}, nil
 	case store.RenewLease:
 		return store.Leased{
 			Lease: c.Lease,
 			Term:  time.Second,
+			Era:   m.era,
 		}, nil
 	case store.RevokeLease:
 		for key, e := range m.entries {
@@ -153,11 +175,13 @@
 		if m.entries[c.Key].Version != c.Expected {
 			return store.Swapped{
 				Current: m.entries[c.Key],
+				Era:     m.era,
 			}, nil
 		}
 		return store.Swapped{
 			Done:    true,
 			Current: m.set(c.Key, c.Value, c.Lease),
+			Era:     m.era,
 		}, nil
 	}
 	return nil, errors.Wrapf(store.ErrUnavailable, "%T", call)
@@ -173,12 +197,14 @@
 				news = append(news, e)
 			}
 		}
-		counter := m.counter
+		counter, era := m.counter, m.era
 		m.mu.Unlock()
-		if len(news) > 0 {
+		if len(news) > 0 || w.After > counter {
 			return store.Changes{
-				Entries: news,
-				Counter: counter,
+				Entries:   news,
+				Counter:   counter,
+				Compacted: w.After > counter,
+				Era:       era,
 			}, nil
 		}
 		select {
@@ -186,6 +212,7 @@
 		case <-ctx.Done():
 			return store.Changes{
 				Counter: counter,
+				Era:     era,
 			}, nil
 		}
 	}
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -376,12 +376,12 @@
 }
 
 func TestMirrorIsCopiedInAFixedForm(t *testing.T) {
-	is := is.New(t)
-	const sent = "0807100118e8072001" + "2a0a0a016b12017618052000" + "2a090a016c120018002006"
-	want := mirrorCopy{
+	copied := mirrorCopy{
 		Delta: mirror.Delta{
-			Counter: 7,
-			Full:    true,
+			At: mirror.Position{
+				Counter: 7,
+			},
+			Full: true,
 			Entries: []store.Entry{
 				{
 					Key:     "k",
@@ -397,20 +397,54 @@
 		ConfirmationAge: time.Millisecond,
 		Confirmed:       true,
 	}
-	is.Equal(hex.EncodeToString(encodeMirrorCopy(want)), sent)
-	content, err := hex.DecodeString(sent)
-	is.NoErr(err)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodGet && r.URL.String() == "/?After=3" {
-			_, _ = w.Write(content)
-		}
-	}))
-	defer server.Close()
-	g := &Gateway{
-		peerClient: newPeerClient(),
+	inEra := copied
+	inEra.At.Era = 2
+	tests := []struct {
+		name  string
+		after mirror.Position
+		query string
+		sent  string
+		want  mirrorCopy
+	}{
+		{
+			name: "store that was never set back",
+			after: mirror.Position{
+				Counter: 3,
+			},
+			query: "/?After=3",
+			sent:  "0807100118e8072001" + "2a0a0a016b12017618052000" + "2a090a016c120018002006",
+			want:  copied,
+		},
+		{
+			name: "store that was set back",
+			after: mirror.Position{
+				Era:     2,
+				Counter: 3,
+			},
+			query: "/?After=3&Era=2",
+			sent:  "08073002100118e8072001" + "2a0a0a016b12017618052000" + "2a090a016c120018002006",
+			want:  inEra,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(hex.EncodeToString(encodeMirrorCopy(tt.want)), tt.sent)
+			content, err := hex.DecodeString(tt.sent)
+			is.NoErr(err)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet && r.URL.String() == tt.query {
+					_, _ = w.Write(content)
+				}
+			}))
+			defer server.Close()
+			g := &Gateway{
+				peerClient: newPeerClient(),
+			}
+			defer g.peerClient.CloseIdleConnections()
+			got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), tt.after)
+			is.NoErr(err)
+			is.Equal(got, tt.want)
+		})
 	}
-	defer g.peerClient.CloseIdleConnections()
-	got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), 3)
-	is.NoErr(err)
-	is.Equal(got, want)
 }
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -103,7 +103,7 @@
 	for {
 		g.state.withLock(func() {
 			changed = g.state.mirrorChanged
-			known = g.state.mirror.Counter() > 0
+			known = !g.state.mirror.Empty()
 			e, _ := g.state.mirror.Entry(g.memberKey())
 			version = e.Version
 		})
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,18 @@
 	return all
 }
 
+// convictions returns the keys of the convictions that the store holds.
+func (f *testFleet) convictions() []string {
+	entries, _ := f.memory.content()
+	var keys []string
+	for key := range entries {
+		if strings.HasPrefix(key, "dandelionmux/quarantine/") {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Guards against a request that goes on crashing targets because the instance that gets it
 // doesn't know of the crashes that others have seen.
 func TestCrashingRequestIsRefusedByAllInstances(t *testing.T) {
@@ -120,3 +133,35 @@
 		})
 	}
 }
+
+// Guards against a conviction that instances started later don't find because the store has
+// lost it.
+func TestConvictionIsStoredAgainAfterStoreWasSetBack(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, 6)
+	entries, counter := f.memory.content()
+	for i := 0; f.crashes() < crashLimit; i++ {
+		f.sendCrashing(f.instances[i%len(f.instances)], http.MethodPost)
+	}
+	isStored := func() bool { return len(f.convictions()) == 1 }
+	f.await(isStored)
+	f.memory.setBack(entries, counter)
+	is.True(!isStored())
+	f.await(isStored)
+}
+
+// Guards against a request that operators can't let pass again.
+func TestConvictionEndsWhenItsKeyIsDeleted(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, 6)
+	for i := 0; f.crashes() < crashLimit; i++ {
+		f.sendCrashing(f.instances[i%len(f.instances)], http.MethodPost)
+	}
+	// An instance that doesn't know yet that it is stored would store it again.
+	f.await(func() bool { return strings.Count(f.log.String(), "msg=\"conviction changed\"") == len(f.instances) })
+	is.Equal(f.sendCrashing(f.instances[0], http.MethodPost), http.StatusServiceUnavailable)
+	f.memory.put(f.convictions()[0], nil, 0)
+	for _, g := range f.instances {
+		f.await(func() bool { return f.send(g, http.MethodPost, "/one/crash", "key-1") == http.StatusOK })
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -74,7 +74,7 @@
 // mirrorEmpty reports whether the mirror has not been filled yet.
 func (g *Gateway) mirrorEmpty() bool {
 	empty := false
-	g.state.withLock(func() { empty = g.state.mirror.Counter() == 0 })
+	g.state.withLock(func() { empty = g.state.mirror.Empty() })
 	return empty
 }
 
@@ -103,9 +103,13 @@
 		return err
 	}
 	list := answer.(store.Entries)
+	at := mirror.Position{
+		Era:     list.Era,
+		Counter: list.Counter,
+	}
 	g.state.update(func(m *mirror.Mirror) []store.Entry {
-		changes := m.ApplyList(list.Entries, list.Counter)
-		m.ConfirmRead(sentAt, list.Counter)
+		changes := m.ApplyList(boot.Now(), list.Entries, at)
+		m.ConfirmRead(sentAt, at)
 		return changes
 	})
 	return nil
@@ -193,12 +197,12 @@
 func (g *Gateway) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	var after int64
+	var after mirror.Position
 	stalled := make(chan struct{})
-	g.state.withLock(func() { after = g.state.mirror.Counter() })
+	g.state.withLock(func() { after = g.state.mirror.Position() })
 	go g.cancelStalledWatch(ctx, cancel, stalled)
 	answer, err := g.callStore(ctx, store.Watch{
-		After: after,
+		After: after.Counter,
 	})
 	select {
 	case <-stalled:
@@ -209,11 +213,14 @@
 		return err
 	}
 	changes := answer.(store.Changes)
-	if changes.Compacted {
+	if changes.Compacted || changes.Era != after.Era {
 		return errChangesLost
 	}
 	g.state.update(func(m *mirror.Mirror) []store.Entry {
-		return m.ApplyChanges(changes.Entries, changes.Counter)
+		return m.ApplyChanges(changes.Entries, mirror.Position{
+			Era:     changes.Era,
+			Counter: changes.Counter,
+		})
 	})
 	sleep(ctx, watchBatchDelay)
 	return nil
@@ -280,9 +287,12 @@
 	if err != nil {
 		return err
 	}
-	counter := answer.(store.Value).Counter
+	value := answer.(store.Value)
 	g.state.update(func(m *mirror.Mirror) []store.Entry {
-		m.ConfirmRead(sentAt, counter)
+		m.ConfirmRead(sentAt, mirror.Position{
+			Era:     value.Era,
+			Counter: value.Counter,
+		})
 		return nil
 	})
 	return nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,7 @@
 	fieldAge // in microseconds
 	fieldConfirmed
 	fieldEntry
+	fieldEra
 )
 
 // Field numbers of an entry of a mirrorCopy.
@@ -75,15 +76,33 @@
 	Confirmed bool
 }
 
-// serveMirror answers with the changes after a counter. It waits until there are any,
+// parsePosition decodes the position in the query of a request for a mirror.
+func parsePosition(query url.Values) (mirror.Position, error) {
+	counter, err := strconv.ParseInt(query.Get("After"), 10, 64)
+	if err != nil {
+		return mirror.Position{}, errors.Wrap(err, "After")
+	}
+	era := int64(0)
+	if text := query.Get("Era"); text != "" {
+		if era, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return mirror.Position{}, errors.Wrap(err, "Era")
+		}
+	}
+	return mirror.Position{
+		Era:     store.Era(era),
+		Counter: counter,
+	}, nil
+}
+
+// serveMirror answers with the changes after a position. It waits until there are any,
 // up to longPollTimeout, and then answers with the newest confirmation alone. An
 // instance that does not read the store, or whose last confirming read is too old,
 // answers 503, so that followers choose another reader at once and no two instances
 // follow each other.
 func (g *Gateway) serveMirror(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseInt(r.URL.Query().Get("After"), 10, 64)
+	after, err := parsePosition(r.URL.Query())
 	if err != nil {
-		http.Error(w, "After: not a counter", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	deadline := boot.Now() + longPollTimeout
@@ -102,13 +121,13 @@
 }
 
 // awaitChange waits until the mirror changes or the time is over, and returns true. It
-// returns false if the mirror is already past the counter, wait is not positive, or ctx
+// returns false if the mirror is already past the position, wait is not positive, or ctx
 // ends: the caller then answers.
-func (g *Gateway) awaitChange(ctx context.Context, after int64, wait time.Duration) bool {
+func (g *Gateway) awaitChange(ctx context.Context, after mirror.Position, wait time.Duration) bool {
 	var ahead bool
 	var changed chan struct{}
 	g.state.withLock(func() {
-		ahead = g.state.mirror.Counter() > after
+		ahead = g.state.mirror.IsAfter(after)
 		changed = g.state.mirrorChanged
 	})
 	if ahead || wait <= 0 {
@@ -125,8 +144,8 @@
 	return true
 }
 
-// copyMirror returns what changed in the mirror after a counter.
-func (g *Gateway) copyMirror(after int64) mirrorCopy {
+// copyMirror returns what changed in the mirror after a position.
+func (g *Gateway) copyMirror(after mirror.Position) mirrorCopy {
 	var c mirrorCopy
 	g.state.withLock(func() {
 		confirmedAt, confirmed := g.state.mirror.ConfirmedAt()
@@ -145,35 +164,44 @@
 func (g *Gateway) copyOnce(ctx context.Context, reader instance.Address) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	var after int64
-	g.state.withLock(func() { after = g.state.mirror.Counter() })
+	var after mirror.Position
+	g.state.withLock(func() { after = g.state.mirror.Position() })
 	sentAt := boot.Now()
 	c, err := g.requestMirror(ctx, reader, after)
 	if err != nil {
 		return err
 	}
 	g.state.update(func(m *mirror.Mirror) []store.Entry {
-		changes := m.ApplyDelta(c.Delta)
+		changes := m.ApplyDelta(boot.Now(), c.Delta)
 		if c.Confirmed {
 			// The reader answered after the request was sent, so this time is no
 			// later than that of the reader's own confirming read.
-			m.ConfirmRead(sentAt-c.ConfirmationAge, c.Counter)
+			m.ConfirmRead(sentAt-c.ConfirmationAge, c.At)
 		}
 		return changes
 	})
+	if c.At.Era < after.Era {
+		return errors.Errorf("reader is in era %d, before %d", c.At.Era, after.Era)
+	}
 	if !c.Confirmed || c.ConfirmationAge > maxReaderConfirmationAge {
 		return errors.Errorf("reader's last confirming read is %s old, more than %s", c.ConfirmationAge, maxReaderConfirmationAge)
 	}
 	return nil
 }
 
-// requestMirror requests the changes after a counter from a reader.
-func (g *Gateway) requestMirror(ctx context.Context, reader instance.Address, after int64) (mirrorCopy, error) {
+// requestMirror requests the changes after a position from a reader.
+func (g *Gateway) requestMirror(ctx context.Context, reader instance.Address, after mirror.Position) (mirrorCopy, error) {
+	query := url.Values{
+		"After": {strconv.FormatInt(after.Counter, 10)},
+	}
+	if after.Era > 0 {
+		query.Set("Era", strconv.FormatInt(int64(after.Era), 10))
+	}
 	u := url.URL{
 		Scheme:   "http",
 		Host:     string(reader),
 		Path:     "/",
-		RawQuery: url.Values{"After": {strconv.FormatInt(after, 10)}}.Encode(),
+		RawQuery: query.Encode(),
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
@@ -195,7 +223,10 @@
 }
 
 func encodeMirrorCopy(c mirrorCopy) []byte {
-	b := appendNumber(nil, fieldCounter, uint64(c.Counter))
+	b := appendNumber(nil, fieldCounter, uint64(c.At.Counter))
+	if c.At.Era > 0 {
+		b = appendNumber(b, fieldEra, uint64(c.At.Era))
+	}
 	b = appendNumber(b, fieldFull, protowire.EncodeBool(c.Full))
 	b = appendNumber(b, fieldAge, uint64(c.ConfirmationAge.Microseconds()))
 	b = appendNumber(b, fieldConfirmed, protowire.EncodeBool(c.Confirmed))
@@ -214,7 +245,9 @@
 	err := forEachField(b, func(n protowire.Number, v uint64, content []byte) error {
 		switch n {
 		case fieldCounter:
-			c.Counter = int64(v)
+			c.At.Counter = int64(v)
+		case fieldEra:
+			c.At.Era = store.Era(v)
 		case fieldFull:
 			c.Full = protowire.DecodeBool(v)
 		case fieldAge:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,7 +68,9 @@
 	// grant more than the rate.
 	unresponsiveUntil map[instance.Address]time.Duration
 	staleUntil        map[instance.Address]time.Duration
-	// mirrorChanged is closed and replaced when the mirror's counter changes.
+	// publishedTrust is the time of trust that was last published.
+	publishedTrust time.Duration
+	// mirrorChanged is closed and replaced when the mirror's position changes.
 	mirrorChanged chan struct{}
 	// lastDatagramAt is when each other instance last sent a datagram.
 	lastDatagramAt map[instance.Address]time.Duration
@@ -138,11 +140,43 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := boot.Now()
+	before := st.mirror.Position()
 	confirmedAt, confirmed := st.mirror.ConfirmedAt()
 	outage := confirmed && now-confirmedAt > outageConfirmationAge
-	counterBefore := st.mirror.Counter()
 	changes := change(st.mirror)
-	targetsChanged, membersChanged := false, false
+	at := st.mirror.Position()
+	setBack := before.Counter > 0 && at.Era != before.Era
+	if setBack {
+		st.gateway.logger.Warn("store was set back",
+			slog.Int64("Era", int64(at.Era)),
+			slog.Int64("Counter", at.Counter),
+			slog.Int64("CounterBefore", before.Counter))
+	}
+	// What a store that was set back has lost is written again by those who wrote it, as
+	// after an outage.
+	targetsChanged, membersChanged := st.applyEntries(now, changes, outage || setBack)
+	if membersChanged {
+		st.rebuildRoster()
+	}
+	if targetsChanged || st.index != nil && len(st.services) == 0 {
+		st.updateTables(now)
+	}
+	if setBack && st.gateway.readingStore.Load() {
+		for _, f := range st.strikes.AllUnsaved(now) {
+			st.gateway.saveConviction(f)
+		}
+	}
+	st.publishTrust()
+	if at != before {
+		close(st.mirrorChanged)
+		st.mirrorChanged = make(chan struct{})
+	}
+	return membersChanged
+}
+
+// applyEntries applies changed and removed entries of the store. outage says that entries
+// may have been removed only because the store was unreachable or set back.
+func (st *localState) applyEntries(now time.Duration, changes []store.Entry, outage bool) (targetsChanged, membersChanged bool) {
 	for _, e := range changes {
 		switch {
 		case e.Key == st.gateway.adapters.ConfigurationKey:
@@ -156,22 +190,18 @@
 			membersChanged = true
 		}
 	}
-	if membersChanged {
-		st.rebuildRoster()
-	}
-	if targetsChanged || st.index != nil && len(st.services) == 0 {
-		st.updateTables(now)
-	}
-	newConfirmedAt, confirmedNow := st.mirror.ConfirmedAt()
-	if confirmedNow && (!confirmed || newConfirmedAt > confirmedAt) {
-		until := newConfirmedAt + st.gateway.settings.MaxConfigurationAge - configurationAgeMargin
-		st.gateway.publish(func(s *entry.Snapshot) { s.TrustedUntil = until })
-	}
-	if st.mirror.Counter() != counterBefore {
-		close(st.mirrorChanged)
-		st.mirrorChanged = make(chan struct{})
+	return targetsChanged, membersChanged
+}
+
+// publishTrust publishes until when the configuration may be used.
+func (st *localState) publishTrust() {
+	trustedAt, trusted := st.mirror.TrustedAt()
+	if !trusted || trustedAt == st.publishedTrust {
+		return
 	}
-	return membersChanged
+	st.publishedTrust = trustedAt
+	until := trustedAt + st.gateway.settings.MaxConfigurationAge - configurationAgeMargin
+	st.gateway.publish(func(s *entry.Snapshot) { s.TrustedUntil = until })
 }
 
 // applyConfiguration decodes a changed configuration and puts it in force if its
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -14,18 +14,25 @@
 // has reached the counter that the read returned, the mirror is confirmed as of
 // the time when the read was sent.
 //
+// If the store is set back to an earlier content, counters are given out again. A mirror
+// therefore compares counters of the same era only, and takes in a new era by a complete
+// list. The others that write to the store write again what it lost. Until they have had
+// the time to, a confirmed mirror may lack changes that were made long ago, and TrustedAt
+// stands still.
+//
 // # Usage
 //
 //	m := mirror.New()
-//	m.ApplyList(answer.Entries, answer.Counter)
-//	m.ApplyChanges(changes.Entries, changes.Counter)
-//	m.ConfirmRead(sent, value.Counter)
-//	if at, ok := m.ConfirmedAt(); ok && now-at < term {
-//		// m holds the store's content as of the time at, or later.
+//	m.ApplyList(now, answer.Entries, position)
+//	m.ApplyChanges(changes.Entries, position)
+//	m.ConfirmRead(sent, position)
+//	if at, ok := m.TrustedAt(); ok && now-at < term {
+//		// m holds all that was written until the time at, or later.
 //	}
 package mirror
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 	"time"
@@ -37,28 +44,46 @@
 // A follower that lacks more than these gets a full Delta.
 const maxRemovals = 1024
 
+// rewriteTime is how long after a new era was seen the others may take to write again
+// what the store has lost. Targets and operators do within about two seconds.
+const rewriteTime = 2 * time.Second
+
+// Position is a state of the store: the counter in an era.
+type Position struct {
+	Era     store.Era
+	Counter int64
+}
+
+// after reports whether the state p came after the state o.
+func (p Position) after(o Position) bool {
+	return p.Era > o.Era || p.Era == o.Era && p.Counter > o.Counter
+}
+
 // Mirror is a copy of all keys of the store that begin with some prefix. It is
 // not safe for concurrent use.
 type Mirror struct {
 	entries map[string]store.Entry
-	counter int64
+	at      Position
 	// removals are the latest removals, in the order of their counters. They
 	// include all removals after the counter removalsAfter.
 	removals      []store.Entry
 	removalsAfter int64
-	// confirmedAt is valid if confirmed is set. pending is a confirmation whose
-	// counter the mirror has not reached yet.
+	// confirmedAt and trustedAt are valid if confirmed is set. pending is a confirmation
+	// whose position the mirror has not reached yet.
 	confirmedAt time.Duration
+	trustedAt   time.Duration
 	confirmed   bool
 	pending     confirmation
+	// rewrittenAt is when all that the store lost before this era is written again.
+	rewrittenAt time.Duration
 }
 
-// confirmation is a read sent at the time sentAt which returned counter, so that
-// the store's counter was at most counter when the read was sent.
+// confirmation is a read sent at the time sentAt which returned a position, so that
+// the store had at most reached that when the read was sent.
 type confirmation struct {
-	sentAt  time.Duration
-	counter int64
-	set     bool
+	sentAt time.Duration
+	at     Position
+	set    bool
 }
 
 // Delta is what changed in a mirror after a counter value, or all that it holds.
@@ -67,7 +92,7 @@
 	// changes; those with Version zero are removals.
 	Full    bool
 	Entries []store.Entry
-	Counter int64
+	At      Position
 }
 
 // New returns an empty mirror.
@@ -77,8 +102,12 @@
 	}
 }
 
-// Counter returns the store's counter up to which the mirror has all changes.
-func (m *Mirror) Counter() int64 { return m.counter }
+// Position returns the position up to which the mirror has all changes. Its counter is zero
+// if the mirror has never been filled.
+func (m *Mirror) Position() Position { return m.at }
+
+// Empty reports whether the mirror has never been filled.
+func (m *Mirror) Empty() bool { return m.at.Counter == 0 }
 
 // Entry returns the entry under a key.
 func (m *Mirror) Entry(key string) (store.Entry, bool) {
@@ -87,12 +116,16 @@
 }
 
 // ApplyList replaces the mirror's content by the entries that the store held at
-// the counter, and returns those that changed. It ignores a list that is older
+// the position, and returns those that changed. It ignores a list that is older
 // than the mirror.
-func (m *Mirror) ApplyList(entries []store.Entry, counter int64) []store.Entry {
-	if counter < m.counter {
+func (m *Mirror) ApplyList(now time.Duration, entries []store.Entry, at Position) []store.Entry {
+	if m.at.after(at) {
 		return nil
 	}
+	if at.Era > m.at.Era && !m.Empty() {
+		return m.startEra(now, entries, at)
+	}
+	m.at.Era = at.Era
 	var changed []store.Entry
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -103,22 +136,52 @@
 	}
 	for key := range m.entries {
 		if !present[key] {
-			changed = append(changed, m.remove(key, counter))
+			changed = append(changed, m.remove(key, at.Counter))
 		}
 	}
-	m.removalsAfter = counter
+	m.removalsAfter = at.Counter
 	m.removals = nil
-	m.advance(counter)
+	m.advance(at.Counter)
 	return changed
 }
 
-// ApplyChanges applies the changes of the store up to the counter, and returns
-// those that changed the mirror.
-func (m *Mirror) ApplyChanges(entries []store.Entry, counter int64) []store.Entry {
+// startEra replaces the content by that of a store that was set back, and returns the
+// entries that differ from it. Their versions say nothing.
+func (m *Mirror) startEra(now time.Duration, entries []store.Entry, at Position) []store.Entry {
+	var changed []store.Entry
+	old := m.entries
+	m.entries = make(map[string]store.Entry, len(entries))
+	for _, e := range entries {
+		m.entries[e.Key] = e
+		if o, ok := old[e.Key]; !ok || !bytes.Equal(o.Value, e.Value) {
+			changed = append(changed, e)
+		}
+	}
+	for key := range old {
+		if _, ok := m.entries[key]; !ok {
+			changed = append(changed, store.Entry{
+				Key:       key,
+				RemovedAt: at.Counter,
+			})
+		}
+	}
+	m.at = at
+	m.removals, m.removalsAfter = nil, at.Counter
+	m.pending = confirmation{}
+	m.rewrittenAt = now + rewriteTime
+	return changed
+}
+
+// ApplyChanges applies the changes of the store up to the position, and returns
+// those that changed the mirror. It ignores changes of another era.
+func (m *Mirror) ApplyChanges(entries []store.Entry, at Position) []store.Entry {
+	if at.Era != m.at.Era {
+		return nil
+	}
 	var changed []store.Entry
 	for _, e := range entries {
 		if e.Version == 0 {
-			if m.applyRemoval(e, counter) {
+			if m.applyRemoval(e, at.Counter) {
 				changed = append(changed, e)
 			}
 			continue
@@ -127,7 +190,7 @@
 			changed = append(changed, e)
 		}
 	}
-	m.advance(counter)
+	m.advance(at.Counter)
 	return changed
 }
 
@@ -137,7 +200,7 @@
 	if old, ok := m.entries[e.Key]; ok && old.Version >= e.Version {
 		return false
 	}
-	if e.Version <= m.counter && !m.newerThanRemovals(e) {
+	if e.Version <= m.at.Counter && !m.newerThanRemovals(e) {
 		return false
 	}
 	m.entries[e.Key] = e
@@ -189,27 +252,28 @@
 // advance moves the mirror's counter forward, and applies the pending
 // confirmation if the mirror has reached it.
 func (m *Mirror) advance(counter int64) {
-	m.counter = max(m.counter, counter)
-	if m.pending.set && m.pending.counter <= m.counter {
+	m.at.Counter = max(m.at.Counter, counter)
+	if m.pending.set && !m.pending.at.after(m.at) {
 		m.pending.set = false
 		m.confirm(m.pending.sentAt)
 	}
 }
 
 // ConfirmRead records that a linearizable read which was sent at the time sentAt
-// returned the store's counter. It takes effect once the mirror has reached that
-// counter. While a confirmation is pending, further ones that the mirror has not
-// reached are ignored, so that Stalled measures from the first.
-func (m *Mirror) ConfirmRead(sentAt time.Duration, counter int64) {
-	if counter <= m.counter {
+// returned the store's position. It takes effect once the mirror has reached that.
+// While a confirmation is pending, further ones that the mirror has not reached are
+// ignored, so that Stalled measures from the first. An answer of an earlier era confirms
+// nothing.
+func (m *Mirror) ConfirmRead(sentAt time.Duration, at Position) {
+	switch {
+	case at.Era < m.at.Era:
+	case !at.after(m.at):
 		m.confirm(sentAt)
-		return
-	}
-	if !m.pending.set {
+	case !m.pending.set:
 		m.pending = confirmation{
-			sentAt:  sentAt,
-			counter: counter,
-			set:     true,
+			sentAt: sentAt,
+			at:     at,
+			set:    true,
 		}
 	}
 }
@@ -220,6 +284,16 @@
 		m.confirmedAt = sentAt
 		m.confirmed = true
 	}
+	if sentAt >= m.rewrittenAt {
+		m.trustedAt = max(m.trustedAt, sentAt)
+	}
+}
+
+// TrustedAt returns the latest time at which the mirror is known to have held all that
+// anybody had written to the store, and false if there is none yet. It is ConfirmedAt,
+// unless the store was set back: then it doesn't move for rewriteTime.
+func (m *Mirror) TrustedAt() (time.Duration, bool) {
+	return m.trustedAt, m.confirmed
 }
 
 // ConfirmedAt returns the latest time at which the mirror is confirmed to have
@@ -237,19 +311,22 @@
 // Behind reports whether the store is known to be ahead of the mirror.
 func (m *Mirror) Behind() bool { return m.pending.set }
 
-// Since returns what changed after the counter, or all entries if the mirror no
-// longer knows all removals after it, or if the counter is zero. A follower that
-// is ahead of the mirror gets an empty Delta.
-func (m *Mirror) Since(counter int64) Delta {
+// IsAfter reports whether the mirror has changes after the position.
+func (m *Mirror) IsAfter(at Position) bool { return m.at.after(at) }
+
+// Since returns what changed after the position, or all entries if the mirror no
+// longer knows all removals after it, if it is of an earlier era, or if its counter is
+// zero. A follower that is ahead of the mirror gets an empty Delta.
+func (m *Mirror) Since(at Position) Delta {
 	d := Delta{
-		Counter: m.counter,
+		At: m.at,
 	}
-	if counter > m.counter {
+	if at.after(m.at) {
 		return d
 	}
-	d.Full = counter < m.removalsAfter || counter == 0
+	d.Full = at.Era < m.at.Era || at.Counter < m.removalsAfter || at.Counter == 0
 	for _, e := range m.entries {
-		if d.Full || e.Version > counter {
+		if d.Full || e.Version > at.Counter {
 			d.Entries = append(d.Entries, e)
 		}
 	}
@@ -258,7 +335,7 @@
 		return d
 	}
 	for _, r := range m.removals {
-		if r.RemovedAt > counter {
+		if r.RemovedAt > at.Counter {
 			d.Entries = append(d.Entries, r)
 		}
 	}
@@ -267,9 +344,9 @@
 
 // ApplyDelta applies a delta of another mirror, and returns the entries that
 // changed this one.
-func (m *Mirror) ApplyDelta(d Delta) []store.Entry {
+func (m *Mirror) ApplyDelta(now time.Duration, d Delta) []store.Entry {
 	if d.Full {
-		return m.ApplyList(d.Entries, d.Counter)
+		return m.ApplyList(now, d.Entries, d.At)
 	}
-	return m.ApplyChanges(d.Entries, d.Counter)
+	return m.ApplyChanges(d.Entries, d.At)
 }
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -26,15 +26,22 @@
 	}
 }
 
+// position returns a position in the first era.
+func position(counter int64) mirror.Position {
+	return mirror.Position{
+		Counter: counter,
+	}
+}
+
 func TestOldChangesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	m := mirror.New()
-	m.ApplyList([]store.Entry{entry("a", 5), entry("b", 6)}, 10)
-	is.Equal(len(m.ApplyChanges([]store.Entry{entry("a", 4)}, 10)), 0)   // older version
-	is.Equal(len(m.ApplyChanges([]store.Entry{removal("b", 5)}, 11)), 0) // written since
-	is.Equal(len(m.ApplyChanges([]store.Entry{removal("a", 12)}, 12)), 1)
-	is.Equal(len(m.ApplyChanges([]store.Entry{entry("a", 11)}, 12)), 0) // removed since
-	is.Equal(len(m.ApplyList([]store.Entry{entry("c", 3)}, 9)), 0)      // an old list
+	m.ApplyList(0, []store.Entry{entry("a", 5), entry("b", 6)}, position(10))
+	is.Equal(len(m.ApplyChanges([]store.Entry{entry("a", 4)}, position(10))), 0)   // older version
+	is.Equal(len(m.ApplyChanges([]store.Entry{removal("b", 5)}, position(11))), 0) // written since
+	is.Equal(len(m.ApplyChanges([]store.Entry{removal("a", 12)}, position(12))), 1)
+	is.Equal(len(m.ApplyChanges([]store.Entry{entry("a", 11)}, position(12))), 0) // removed since
+	is.Equal(len(m.ApplyList(0, []store.Entry{entry("c", 3)}, position(9))), 0)   // an old list
 	_, ok := m.Entry("b")
 	is.True(ok)
 }
@@ -45,18 +52,18 @@
 func TestReadConfirmsOnceMirrorReachesItsCounter(t *testing.T) {
 	is := is.New(t)
 	m := mirror.New()
-	m.ApplyList(nil, 10)
+	m.ApplyList(0, nil, position(10))
 	_, ok := m.ConfirmedAt()
 	is.True(!ok)
-	m.ConfirmRead(time.Second, 10)
-	m.ConfirmRead(2*time.Second, 12) // the store is ahead
+	m.ConfirmRead(time.Second, position(10))
+	m.ConfirmRead(2*time.Second, position(12)) // the store is ahead
 	at, ok := m.ConfirmedAt()
 	is.True(ok)
 	is.Equal(at, time.Second)
 	is.True(m.Behind())
 	is.True(!m.Stalled(2*time.Second, 400*time.Millisecond))
 	is.True(m.Stalled(3*time.Second, 400*time.Millisecond))
-	m.ApplyChanges([]store.Entry{entry("a", 12)}, 12)
+	m.ApplyChanges([]store.Entry{entry("a", 12)}, position(12))
 	at, _ = m.ConfirmedAt()
 	is.Equal(at, 2*time.Second)
 	is.True(!m.Behind())
@@ -103,7 +110,7 @@
 }
 
 func checkContent(s *model, m *mirror.Mirror) error {
-	if got := len(m.Since(0).Entries); got != len(s.entries) {
+	if got := len(m.Since(position(0)).Entries); got != len(s.entries) {
 		return fmt.Errorf("%d keys, want %d", got, len(s.entries))
 	}
 	for key, version := range s.entries {
@@ -133,25 +140,25 @@
 			case 2:
 				s.remove(key)
 			case 3:
-				reader.ApplyList(s.list(), s.counter)
+				reader.ApplyList(0, s.list(), position(s.counter))
 			case 4:
-				if reader.Counter() > 0 {
-					reader.ApplyChanges(s.since(reader.Counter()), s.counter)
+				if !reader.Empty() {
+					reader.ApplyChanges(s.since(reader.Position().Counter), position(s.counter))
 				}
 			case 5:
-				if reader.Counter() >= follower.Counter() {
-					follower.ApplyDelta(reader.Since(follower.Counter()))
+				if !follower.IsAfter(reader.Position()) {
+					follower.ApplyDelta(0, reader.Since(follower.Position()))
 				}
 			}
 		}
 		s.write("last")
 		for _, r := range readers {
-			r.ApplyList(s.list(), s.counter)
+			r.ApplyList(0, s.list(), position(s.counter))
 			if err := checkContent(s, r); err != nil {
 				t.Fatal("reader: ", err)
 			}
 		}
-		follower.ApplyDelta(readers[0].Since(follower.Counter()))
+		follower.ApplyDelta(0, readers[0].Since(follower.Position()))
 		if err := checkContent(s, follower); err != nil {
 			t.Fatal("follower: ", err)
 		}
@@ -161,10 +168,10 @@
 func TestFollowerAheadOfReaderIgnoresDelta(t *testing.T) {
 	is := is.New(t)
 	reader, follower := mirror.New(), mirror.New()
-	reader.ApplyList([]store.Entry{entry("a", 1)}, 5)
-	follower.ApplyList([]store.Entry{entry("b", 6)}, 6)
-	is.Equal(len(follower.ApplyDelta(reader.Since(follower.Counter()))), 0)
-	is.Equal(follower.Counter(), int64(6))
+	reader.ApplyList(0, []store.Entry{entry("a", 1)}, position(5))
+	follower.ApplyList(0, []store.Entry{entry("b", 6)}, position(6))
+	is.Equal(len(follower.ApplyDelta(0, reader.Since(follower.Position()))), 0)
+	is.Equal(follower.Position(), position(6))
 }
 
 // BenchmarkSince measures what a follower that lacks one change costs its reader,
@@ -179,12 +186,94 @@
 			Version: int64(i + 1),
 		}
 	}
-	m.ApplyList(entries, targets)
-	m.ApplyChanges([]store.Entry{{Key: entries[0].Key, Version: targets + 1}}, targets+1)
+	m.ApplyList(0, entries, position(targets))
+	m.ApplyChanges([]store.Entry{{Key: entries[0].Key, Version: targets + 1}}, position(targets+1))
 	b.ReportAllocs()
 	for b.Loop() {
-		if got := len(m.Since(targets).Entries); got != 1 {
+		if got := len(m.Since(position(targets)).Entries); got != 1 {
 			b.Fatalf("%d entries", got)
 		}
 	}
 }
+
+// storedAs returns an entry with a value.
+func storedAs(key, value string, version int64) store.Entry {
+	return store.Entry{
+		Key:     key,
+		Value:   []byte(value),
+		Version: version,
+	}
+}
+
+// Guards against a mirror that keeps what a store which was set back has lost, or that takes
+// a counter which is given out twice for one that it has reached.
+func TestMirrorFollowsAStoreThatWasSetBack(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	m.ApplyList(0, []store.Entry{storedAs("a", "old", 3), storedAs("b", "x", 4), storedAs("c", "x", 5)}, position(5))
+	m.ApplyChanges([]store.Entry{storedAs("a", "new", 9), storedAs("d", "x", 10)}, position(10))
+	m.ConfirmRead(time.Second, position(10))
+	setBack := mirror.Position{
+		Era:     1,
+		Counter: 7,
+	}
+	is.Equal(len(m.ApplyChanges([]store.Entry{storedAs("e", "x", 7)}, setBack)), 0) // needs a list
+	m.ConfirmRead(2*time.Second, setBack)
+	is.True(m.Behind()) // although the counter is lower
+	confirmed, _ := m.ConfirmedAt()
+	is.Equal(confirmed, time.Second)
+
+	changed := m.ApplyList(2*time.Second, []store.Entry{storedAs("a", "old", 3), storedAs("b", "x", 4), storedAs("e", "x", 7)}, setBack)
+	keys := map[string]bool{}
+	for _, e := range changed {
+		keys[e.Key] = true
+	}
+	is.Equal(keys, map[string]bool{"a": true, "c": true, "d": true, "e": true}) // b is as it was
+	is.Equal(m.Position(), setBack)
+	is.Equal(len(m.ApplyList(2*time.Second, nil, position(99))), 0) // a late answer of the old era
+	is.Equal(len(m.ApplyChanges([]store.Entry{storedAs("a", "newer", 8)}, mirror.Position{
+		Era:     1,
+		Counter: 8,
+	})), 1) // counter 8 has been given out before
+}
+
+// Guards against a configuration that counts as the newest although the store may have lost
+// a newer one that hasn't been written again.
+func TestTrustStandsStillUntilLostEntriesAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	m.ApplyList(0, nil, position(5))
+	m.ConfirmRead(time.Second, position(5))
+	setBack := mirror.Position{
+		Era:     1,
+		Counter: 4,
+	}
+	m.ApplyList(3*time.Second, nil, setBack)
+	for _, sentAt := range []time.Duration{3 * time.Second, 4 * time.Second} {
+		m.ConfirmRead(sentAt, setBack)
+		confirmed, _ := m.ConfirmedAt()
+		is.Equal(confirmed, sentAt)
+		trusted, ok := m.TrustedAt()
+		is.True(ok)
+		is.Equal(trusted, time.Second)
+	}
+	m.ConfirmRead(5*time.Second, setBack)
+	trusted, _ := m.TrustedAt()
+	is.Equal(trusted, 5*time.Second)
+}
+
+// Guards against followers that copy a reader of another era by counters.
+func TestFollowersOfAnotherEraGetAllOrNothing(t *testing.T) {
+	is := is.New(t)
+	setBack := mirror.Position{
+		Era:     1,
+		Counter: 4,
+	}
+	reader, follower := mirror.New(), mirror.New()
+	reader.ApplyList(0, []store.Entry{storedAs("a", "x", 3)}, setBack)
+	follower.ApplyList(0, []store.Entry{storedAs("a", "y", 8), storedAs("b", "y", 9)}, position(9))
+	is.True(reader.IsAfter(follower.Position()))
+	is.Equal(len(reader.ApplyDelta(0, follower.Since(reader.Position()))), 0) // an old era
+	is.Equal(len(follower.ApplyDelta(0, reader.Since(follower.Position()))), 2)
+	is.Equal(follower.Position(), setBack)
+}
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -149,6 +149,17 @@
 	return c.targets, c.storedAt == 0 || now-c.storedAt > ConvictionTerm/2
 }
 
+// AllUnsaved returns the requests whose conviction must be stored.
+func (t *Tally) AllUnsaved(now time.Duration) []Fingerprint {
+	var list []Fingerprint
+	for f := range t.convictions {
+		if _, unsaved := t.Unsaved(now, f); unsaved {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // Remaining returns how long the request must not run, and zero if it may.
 func (t *Tally) Remaining(now time.Duration, f Fingerprint) time.Duration {
 	return max(t.convictions[f].until-now, 0)
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -106,11 +106,18 @@
 // Changes.
 type Answer interface{ answer() }
 
+// Era is the number of times that the store has been set back to an earlier content. What
+// was written between that content and the loss is gone, leases too, and versions and
+// leases are given out again: those of different eras must not be compared. It is always
+// zero if a store can't be set back.
+type Era int64
+
 // Value answers a Get. An absent key has version zero.
 type Value struct {
 	Entry Entry
 	// Counter is the store's counter at the time of the read.
 	Counter int64
+	Era     Era
 }
 
 // Entries answers a List.
@@ -119,6 +126,7 @@
 	Entries []Entry
 	// Counter is the store's counter at the time of the read.
 	Counter int64
+	Era     Era
 }
 
 // Swapped answers a Swap or Delete.
@@ -128,6 +136,7 @@
 	// Current is the entry after the call: as written if Done is set, as found
 	// otherwise.
 	Current Entry
+	Era     Era
 }
 
 // Leased answers the lease calls.
@@ -135,6 +144,7 @@
 	Lease LeaseID
 	// Term is the term that the store granted; zero if the lease has ended.
 	Term time.Duration
+	Era  Era
 }
 
 // Changes answers a Watch. The entries of removed keys have version zero.
@@ -145,6 +155,7 @@
 	// Compacted is set if the store no longer has all changes since After, so
 	// that the watcher must List again.
 	Compacted bool
+	Era       Era
 }
 
 func (Get) call()         {}
