Register again when the store was set back, and delete the key instead of the lease

The lease of a registration may be among what the store has lost, and be given to another instance since. Its former holder renewed it and believed that it was registered; at its stop it would have ended the other's registration. Now an answer of another era counts as an expired lease, and a stopping instance deletes its key by its version. TestInstancesRegisterAgainAfterStoreWasSetBack failed before.

--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -24,70 +24,85 @@
 // memberKey returns the store key of the instance's registration.
 func (g *Gateway) memberKey() string { return memberPrefix + string(g.self.Address) }
 
+// registration is the instance's key in the store.
+type registration struct {
+	lease   store.LeaseID
+	era     store.Era
+	version int64
+}
+
 // keepMembership registers the instance and renews the lease until ctx ends, then
-// revokes it.
+// deletes the registration.
 func (g *Gateway) keepMembership(ctx context.Context) {
-	var lease store.LeaseID
+	var current registration
 	for ctx.Err() == nil {
 		var err error
-		if lease == 0 {
-			lease, err = g.register(ctx)
+		if current.lease == 0 {
+			current, err = g.register(ctx)
 		} else {
-			lease, err = g.renewLease(ctx, lease)
+			current, err = g.renewLease(ctx, current)
 		}
 		if err != nil {
 			g.logStoreFailure(ctx, "membership", err)
 			g.backoff.wait(ctx)
 			continue
 		}
-		if lease != 0 {
+		if current.lease != 0 {
 			sleep(ctx, leaseRenewPeriod)
 		}
 	}
-	g.revokeLease(lease)
+	g.deleteRegistration(current)
 }
 
 // register registers the instance under a new lease.
-func (g *Gateway) register(ctx context.Context) (store.LeaseID, error) {
+func (g *Gateway) register(ctx context.Context) (registration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := g.callStore(ctx, store.GrantLease{
 		Term: max(memberLeaseTerm, g.settings.MinLeaseTerm),
 	})
 	if err != nil {
-		return 0, err
+		return registration{}, err
 	}
-	lease := answer.(store.Leased).Lease
+	granted := answer.(store.Leased)
 	value, err := json.Marshal(memberValue{
 		Zone:        g.self.Zone,
 		Incarnation: g.self.Incarnation,
 	})
 	if err != nil {
-		return 0, errors.Wrap(err, "encode member")
+		return registration{}, errors.Wrap(err, "encode member")
 	}
-	return lease, g.writeMember(ctx, lease, value)
+	return g.writeMember(ctx, granted, value)
 }
 
 // writeMember writes the instance's key, replacing what an earlier run may have left
 // there.
-func (g *Gateway) writeMember(ctx context.Context, lease store.LeaseID, value []byte) error {
+func (g *Gateway) writeMember(ctx context.Context, granted store.Leased, value []byte) (registration, error) {
 	expected := g.memberVersion(ctx)
 	for {
 		answer, err := g.callStore(ctx, store.Swap{
 			Key:      g.memberKey(),
 			Value:    value,
 			Expected: expected,
-			Lease:    lease,
+			Lease:    granted.Lease,
 		})
 		if err != nil {
-			return err
+			return registration{}, err
 		}
 		swapped := answer.(store.Swapped)
+		if swapped.Era != granted.Era {
+			return registration{}, errors.Wrap(store.ErrNoLease, "set back since the lease was granted")
+		}
 		if swapped.Done {
 			g.logger.Info("registered",
-				slog.Int64("Lease", int64(lease)),
+				slog.Int64("Lease", int64(granted.Lease)),
+				slog.Int64("Era", int64(granted.Era)),
 				slog.Int64("Counter", swapped.Current.Version))
-			return nil
+			return registration{
+				lease:   granted.Lease,
+				era:     granted.Era,
+				version: swapped.Current.Version,
+			}, nil
 		}
 		expected = swapped.Current.Version
 	}
@@ -118,32 +133,39 @@
 	}
 }
 
-// renewLease renews the lease. It returns zero if the lease has expired.
-func (g *Gateway) renewLease(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
+// renewLease renews the lease. It returns no registration if the lease has expired, or if
+// the store was set back: then the lease may be gone, and another instance's by now.
+func (g *Gateway) renewLease(ctx context.Context, current registration) (registration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := g.callStore(ctx, store.RenewLease{
-		Lease: lease,
+		Lease: current.lease,
 	})
 	if err != nil {
-		return lease, err
+		return current, err
 	}
-	if answer.(store.Leased).Term == 0 {
+	if renewed := answer.(store.Leased); renewed.Term == 0 || renewed.Era != current.era {
 		g.logger.Warn("registration expired",
-			slog.Int64("Lease", int64(lease)))
-		return 0, nil
+			slog.Int64("Lease", int64(current.lease)),
+			slog.Int64("Era", int64(renewed.Era)))
+		return registration{}, nil
 	}
-	return lease, nil
+	return current, nil
 }
 
-// revokeLease ends the registration when the instance stops.
-func (g *Gateway) revokeLease(lease store.LeaseID) {
-	if lease == 0 {
+// deleteRegistration ends the registration when the instance stops. It deletes the key and
+// lets the lease expire, because the lease may be another instance's if the store was set
+// back.
+func (g *Gateway) deleteRegistration(current registration) {
+	if current.lease == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 	defer cancel()
-	if _, err := g.callStore(ctx, store.RevokeLease{Lease: lease}); err != nil {
+	if _, err := g.callStore(ctx, store.Delete{
+		Key:      g.memberKey(),
+		Expected: current.version,
+	}); err != nil {
 		g.logger.Warn("registration not revoked, it will expire",
 			slog.String("Error", err.Error()))
 	}
