Don't count a new bucket's time without most of the shares

An organisation of 1 request a second with a burst of 1 was admitted up to half a second early while instances were replaced one after the other: more than its rate and burst over all instances.

Cause: a part of a burst is rounded down for those who hold half of the shares or less, so the coordinator that is losing a shard still has the whole burst of 1 while the next one holds the smaller part. A bucket that the next one made later was filled as if it had collected units in that time too.

New test TestGracefulStopsKeepTheBound, which failed before.

--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -21,8 +21,10 @@
 package rights
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 
 	"dandelionmux/pkg/share"
@@ -257,12 +259,23 @@
 	return h.since[n] != notHeld
 }
 
-// ForEachAge calls f for each share that lends the shard, with the time for
-// which it has done so.
-func (h *Holding) ForEachAge(now time.Duration, f func(age time.Duration)) {
-	for _, since := range h.since {
+// HeldShare is a share that lends a shard, and since when it does.
+type HeldShare struct {
+	Number share.Number
+	Since  time.Duration
+}
+
+// Shares returns the shares that lend the shard, in the order in which they began to.
+func (h *Holding) Shares() []HeldShare {
+	list := make([]HeldShare, 0, h.Count)
+	for n, since := range h.since {
 		if since != notHeld {
-			f(now - since)
+			list = append(list, HeldShare{
+				Number: share.Number(n),
+				Since:  since,
+			})
 		}
 	}
+	slices.SortStableFunc(list, func(a, b HeldShare) int { return cmp.Compare(a.Since, b.Since) })
+	return list
 }
--- a/pkg/quota/coordinator.go
+++ b/pkg/quota/coordinator.go
@@ -187,7 +187,8 @@
 // update brings a bucket up to a time and removes its expired grants.
 func (c *Coordinator) update(b *bucket, to time.Duration) {
 	p := c.portion(b.shard)
-	if holding := c.tracker.Holding(b.shard); holding != nil && b.updatedAt <= to {
+	holding := c.tracker.Holding(b.shard)
+	if holding != nil && b.updatedAt <= to {
 		b.addInherited(p, holding.LastAdded, b.limit.PerSecond)
 	}
 	for _, g := range b.update(to, p, c.slowRate(p.rate(b.limit.PerSecond))) {
@@ -230,19 +231,29 @@
 	}
 }
 
-// fillByAge sets the level of a new bucket by how long each share has been
-// held.
+// fillByAge sets the level of a new bucket as if it had been there since the first of
+// the shares now held was borrowed. Before it had most of them, its part of a small burst
+// was rounded down.
 func (c *Coordinator) fillByAge(b *bucket, now time.Duration) {
 	holding := c.tracker.Holding(b.shard)
 	if holding == nil {
 		return
 	}
-	p := c.portion(b.shard)
-	maxPerShare := float64(p.burst(b.limit.Burst)) / float64(max(p.shares, 1))
-	rate := c.slowRate(b.limit.PerSecond) / float64(c.totalShares)
-	holding.ForEachAge(now, func(age time.Duration) {
-		b.level += min(maxPerShare, rate*age.Seconds())
-	})
+	p := portion{
+		total: c.totalShares,
+	}
+	last := now
+	fill := func(to time.Duration) {
+		added := c.slowRate(p.rate(b.limit.PerSecond)) * max(to-last, 0).Seconds()
+		b.level = min(b.level+added, float64(p.burst(b.limit.Burst)))
+		last = to
+	}
+	for _, s := range holding.Shares() {
+		fill(s.Since)
+		p.shares++
+		p.tieBreaker = p.tieBreaker || s.Number == c.tracker.TieBreaker(b.shard)
+	}
+	fill(now)
 	b.idealLevel = b.level
 	if b.idealLevel+tolerance >= float64(p.burst(b.limit.Burst)) {
 		b.idealFullAt = now
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -280,6 +280,28 @@
 	is.True(worst < 0.03)
 }
 
+// Guards against usage over the bound when a shard is lent to a joining instance while
+// another one still has most of its shares: the new bucket must not count the time in which
+// its part of a small burst was rounded down to nothing.
+func TestGracefulStopsKeepTheBound(t *testing.T) {
+	for _, seed := range []uint64{11, 22, 27} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(seed, 12, limitsOfKinds())
+			offerAll(f, 0.9, 15*time.Second, 45*time.Second)
+			for i := range 12 {
+				f.runAt(time.Duration(20+2*i)*time.Second, func() {
+					f.leave(f.nodes[i])
+					f.add()
+				})
+			}
+			f.run(46 * time.Second)
+			is.Equal(f.violations, nil)
+		})
+	}
+}
+
 // Guards against usage over the bound, and against loss of the remaining
 // shares' rate, when instances crash during a store outage and their shares
 // can't be reclaimed.
