Let requests wait two seconds for a new coordinator instead of one

While instances were replaced one after the other, the worst organisation was refused 3.2% of its requests although it stayed within its rate. A shard that moves to a joining instance is lent to nobody for 0.3 to 0.6 s (traced: all shares end at the old borrower's next request, and are lent again once the loan has ended), and at 0.9 of the rate the line that forms shortens by a tenth of the rate: many waited just over a second and were refused. Callers wait for seconds anyway, and a refusal within the rate is the worse outcome for them; the request's own deadline still ends the wait.

--- a/pkg/quota/option.go
+++ b/pkg/quota/option.go
@@ -36,7 +36,7 @@
 	defaultOnDemandTerm    = 150 * time.Millisecond
 	defaultPrefetchHorizon = 200 * time.Millisecond
 	defaultMaxQueueWait    = 20 * time.Millisecond
-	defaultMaxTakeoverWait = time.Second
+	defaultMaxTakeoverWait = 2 * time.Second
 	defaultRecoveryTime    = 30 * time.Second
 	defaultBatchDelay      = 200 * time.Microsecond
 	defaultAnswerTimeout   = 50 * time.Millisecond
@@ -104,7 +104,7 @@
 
 // MaxTakeoverWait bounds how long a request waits for a coordinator to be
 // found, and for the empty bucket of a new coordinator to fill. The default is
-// one second.
+// two seconds: a refusal within the rate costs a caller more than such a wait.
 func MaxTakeoverWait(wait time.Duration) Option {
 	return func(o *options) { o.maxTakeoverWait = wait }
 }
