Take no limit from an answer of another target at the same address

An address may be used again by another service, whose target answers 421. A limit that such an answer names is its own, not that of the target which the request was meant for. TestLimitOfAnswer failed in that case before.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -199,10 +199,12 @@
 }
 
 // limit returns what the answer says about the requests that the target takes. Only a
-// success without the header says that there is no limit.
+// success without the header says that there is no limit. A crossed answer and one that
+// another target at the address gave say nothing.
 func (a *answer) limit(outcome target.Outcome) meter.TargetLimit {
 	header := a.attempt.exchange.handler.dialect.TargetLimitHeader
-	if header == "" || outcome == target.Truncated {
+	misdirected := a.response.StatusCode == http.StatusMisdirectedRequest
+	if header == "" || outcome == target.Truncated || misdirected {
 		return meter.TargetLimit{}
 	}
 	text := a.response.Header.Get(header)
