Eject for truncated answers only if a target has more of them than the others

A target that broke off or spoiled one of its answers was out of use at all instances for three seconds, and for writes for six, whatever its traffic.

A truncated or malformed answer counts as one server error now; a target that truncates many still has two within the first second.

TestRareErrorsOfABusyServiceEjectNoTarget failed for truncated answers before.

--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -4,18 +4,18 @@
 // A target with a gray failure resets or fails most of its requests for some
 // seconds while its health probes still pass. An instance that rarely uses that
 // target would have to lose a request of its own to find out. Instances therefore
-// broadcast failures. A dead connection or a truncated answer ejects the target
-// for a while in every Table. A timeout ejects it only where it was observed, and
-// counts elsewhere as one server error. A refused connection isn't broadcast.
+// broadcast failures. A dead connection ejects the target for a while in every Table. A
+// timeout ejects it only where it was observed, and counts elsewhere as one server
+// error. A refused connection isn't broadcast.
 // After the ejection the target is on probation: it gets repeatable requests
 // first, because a request that may not be repeated is lost if the target is
 // still failing. A kept connection that dies at once may have been dropped by a healthy
 // target, so it only begins a probation.
 //
-// A server error ejects a target only if the target returns more of them within two
-// seconds than the others do, since some requests fail through no fault of the target. When too few targets
-// are left, those that are only slow, full or returning server errors are used first,
-// then those whose failures are the oldest.
+// A server error or a truncated answer ejects a target only if the target returns more of
+// them within two seconds than the others do, since some requests fail through no fault
+// of the target. When too few targets are left, those that are only slow, full or
+// returning server errors are used first, then those whose failures are the oldest.
 //
 // A target may limit the requests that it takes from all instances together. Package meter
 // decides whether it may get one more. If not, its choice is taken back with Hold, and
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -38,7 +38,7 @@
 	minUsablePercent = 20
 	// shedPause is how long a target gets no requests after it has shed one.
 	shedPause = 300 * time.Millisecond
-	// errorWindow is how long a server error or a timeout counts.
+	// errorWindow is how long a server error, a truncated answer or a timeout counts.
 	errorWindow = 2 * time.Second
 	// minErrors is the number of errors within errorWindow that eject a target while no
 	// other target has any. errorFactor times the mean number of the other targets is
@@ -57,13 +57,13 @@
 	// order holds the targets sorted by name, so that choices are reproducible under a
 	// fixed seed.
 	order []*targetState
-	// errors holds the server errors that this instance saw, and the server errors and
-	// timeouts that others reported, within errorWindow, oldest first. Those of targets
-	// that were ejected meanwhile are included.
+	// errors holds the server errors and truncated answers that this instance saw, and
+	// those and the timeouts that others reported, within errorWindow, oldest first. Those
+	// of targets that were ejected meanwhile are included.
 	errors []targetError
 }
 
-// targetError is a server error or a timeout of a target.
+// targetError is a server error, a truncated answer or a timeout of a target.
 type targetError struct {
 	target *targetState
 	at     time.Duration
@@ -84,9 +84,8 @@
 	ejectedUntil   time.Duration
 	probationUntil time.Duration
 	successes      int
-	// lostRequests is set if a connection died or was refused, or an answer was cut
-	// short, during this ejection or probation; it is false after only timeouts or server
-	// errors.
+	// lostRequests is set if a connection died or was refused during this ejection or
+	// probation; it is false after only timeouts, truncated answers or server errors.
 	lostRequests bool
 	// pausedUntil is the end of the pause after a shed request.
 	pausedUntil time.Duration
@@ -361,11 +360,11 @@
 	switch outcome {
 	case target.Succeeded:
 		s.recordSuccess(now)
-	case target.Crashed, target.Truncated:
+	case target.Crashed:
 		s.eject(now, true)
 	case target.Disconnected:
 		s.suspect(now)
-	case target.Failed, target.TimedOut:
+	case target.Failed, target.Truncated, target.TimedOut:
 		// The network link of the other instance may be the cause, so a timeout
 		// there counts no more than one server error.
 		t.recordError(now, s)
@@ -380,10 +379,10 @@
 	switch outcome {
 	case target.Succeeded:
 		return s.recordSuccess(now)
-	case target.Failed:
+	case target.Failed, target.Truncated:
 		t.recordError(now, s)
 		return true
-	case target.Crashed, target.Truncated:
+	case target.Crashed:
 		s.eject(now, true)
 		return !ejected
 	case target.TimedOut:
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -325,16 +325,16 @@
 }
 
 // busyService simulates a service whose targets each get perSecond requests for the given
-// time. The fraction of them that fails or times out is that of the target. It calls step
+// time. The fraction of them that has the outcome is that of the target. It calls step
 // every 100 ms.
-func busyService(table *outlier.Table, targets, perSecond int, fraction func(i int) float64, length time.Duration, step func(at time.Duration)) {
+func busyService(table *outlier.Table, targets, perSecond int, outcome target.Outcome, fraction func(i int) float64, length time.Duration, step func(at time.Duration)) {
 	const tick = 100 * time.Millisecond
 	random := rand.New(rand.NewPCG(3, 4))
 	for at := now; at < now+length; at += tick {
 		for i := range targets {
 			for range perSecond {
 				if random.Float64() < fraction(i)*tick.Seconds() {
-					table.ReceiveOutcome(at, fmt.Sprintf("desk-%02d", i), target.Failed)
+					table.ReceiveOutcome(at, fmt.Sprintf("desk-%02d", i), outcome)
 				}
 			}
 		}
@@ -342,8 +342,8 @@
 	}
 }
 
-// Guards against targets of a busy service that are ejected because two of many requests
-// failed for reasons of their own, until the rest is overloaded.
+// Guards against targets of a busy service that are ejected because one or two of many
+// requests failed for reasons of their own, until the rest is overloaded.
 func TestRareErrorsOfABusyServiceEjectNoTarget(t *testing.T) {
 	const (
 		targets      = 60
@@ -351,13 +351,18 @@
 		errorPercent = 2.2
 		floorPercent = 70 // the operators' floor for targets in use
 	)
-	is := is.New(t)
-	table := newTable(targets)
-	fewest := targets
-	busyService(table, targets, perSecond, func(int) float64 { return errorPercent / 100 }, 30*time.Second, func(at time.Duration) {
-		fewest = min(fewest, table.Counts(at).Healthy)
-	})
-	is.True(fewest*100 >= targets*floorPercent)
+	for _, outcome := range []target.Outcome{target.Failed, target.Truncated} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(targets)
+			fewest := targets
+			rate := func(int) float64 { return errorPercent / 100 }
+			busyService(table, targets, perSecond, outcome, rate, 30*time.Second, func(at time.Duration) {
+				fewest = min(fewest, table.Counts(at).Healthy)
+			})
+			is.True(fewest*100 >= targets*floorPercent)
+		})
+	}
 }
 
 // Guards against errors that are rare elsewhere hiding a target that fails most requests.
@@ -369,7 +374,7 @@
 	is := is.New(t)
 	table := newTable(targets)
 	ejectedAfter := time.Duration(0)
-	busyService(table, targets, perSecond, func(i int) float64 {
+	busyService(table, targets, perSecond, target.Failed, func(i int) float64 {
 		if i == 7 {
 			return 0.7
 		}
