--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -53,14 +53,14 @@
 	is.Equal(g.memberKey(), "dandelionmux/members/10.0.0.1:7000")
 }
 
-func TestConvictionIsStoredUnderFixedNames(t *testing.T) {
+func TestQuarantineIsStoredUnderFixedNames(t *testing.T) {
 	is := is.New(t)
-	content, err := json.Marshal(convictionValue{
+	content, err := json.Marshal(quarantineValue{
 		Targets: []string{"desk-1", "desk-2"},
 	})
 	is.NoErr(err)
 	is.Equal(string(content), `{"Targets":["desk-1","desk-2"]}`)
-	is.Equal(convictionKey(quarantine.Fingerprint{1, 2}), "dandelionmux/quarantine/01020000000000000000000000000000")
+	is.Equal(quarantineKey(quarantine.Fingerprint{1, 2}), "dandelionmux/quarantine/01020000000000000000000000000000")
 }
 
 func TestDatagramsHaveFixedBytes(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	// publishMu serialises changes of the snapshot.
 	publishMu sync.Mutex
 
-	// unsaved receives the requests whose conviction may have to be changed in the store.
+	// unsaved receives the requests whose quarantine may have to be changed in the store.
 	unsaved chan quarantine.Fingerprint
 
 	tasks  *errgroup.Group
@@ -98,7 +98,7 @@
 			Zone: s.Zone,
 		},
 		pending:    newPendingRequests(),
-		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedConvictions),
+		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedEntries),
 		peerClient: newPeerClient(),
 	}
 	for _, o := range options {
@@ -205,7 +205,7 @@
 	g.deregister = deregister
 	g.goTask(func() { g.keepMembership(membership) })
 	g.goTask(func() { g.tick(ctx) })
-	g.goTask(func() { g.saveConvictions(ctx) })
+	g.goTask(func() { g.saveQuarantines(ctx) })
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
 		slog.String("Zone", g.settings.Zone),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -19,24 +19,24 @@
 )
 
 const (
-	// convictionPrefix is the store key prefix of requests that crash targets. An instance
+	// quarantinePrefix is the store key prefix of requests that crash targets. An instance
 	// that starts later finds them there.
-	convictionPrefix = "dandelionmux/quarantine/"
-	// maxUnsavedConvictions bounds the convictions that wait to be stored. One that finds
+	quarantinePrefix = "dandelionmux/quarantine/"
+	// maxUnsavedEntries bounds the entries that wait to be stored. One that finds
 	// no room is stored when its request is refused again.
-	maxUnsavedConvictions = 64
+	maxUnsavedEntries = 64
 	// minQuarantineRetryAfter is the shortest Retry-After sent to callers of a quarantined
 	// request.
 	minQuarantineRetryAfter = time.Second
 )
 
-// convictionValue is the JSON value of a conviction's key, for operators.
-type convictionValue struct {
+// quarantineValue is the JSON value of a quarantined request's key, for operators.
+type quarantineValue struct {
 	Targets []string
 }
 
-// convictionKey returns the store key of a request's conviction.
-func convictionKey(f quarantine.Fingerprint) string { return convictionPrefix + f.String() }
+// quarantineKey returns the store key of a quarantined request.
+func quarantineKey(f quarantine.Fingerprint) string { return quarantinePrefix + f.String() }
 
 // quarantineCheck implements entry.Quarantine.
 type quarantineCheck struct{ gateway *Gateway }
@@ -59,7 +59,7 @@
 			slog.String("Request", entry.RequestID(ctx)),
 			slog.String("Fingerprint", f.String()),
 			slog.Duration("Remaining", remaining))
-		g.saveConviction(f)
+		g.saveQuarantine(f)
 		return nil, &entry.Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "quarantined",
@@ -109,7 +109,7 @@
 		Outcome: target.Succeeded,
 		Suspect: p.fingerprint,
 	})
-	g.saveConviction(p.fingerprint)
+	g.saveQuarantine(p.fingerprint)
 }
 
 // recordStrike records a strike if the attempt ended with its connection. It reports
@@ -124,19 +124,19 @@
 		slog.String("Fingerprint", p.fingerprint.String()),
 		slog.String("Target", targetName),
 		slog.String("Outcome", outcome.String()))
-	convicted := false
-	g.state.withLock(func() { convicted = g.state.addStrike(p.fingerprint, targetName, outcome) })
-	if convicted {
-		g.logger.Warn("request convicted",
+	quarantined := false
+	g.state.withLock(func() { quarantined = g.state.addStrike(p.fingerprint, targetName, outcome) })
+	if quarantined {
+		g.logger.Warn("request quarantined",
 			slog.String("Request", p.requestID),
 			slog.String("Fingerprint", p.fingerprint.String()))
-		g.saveConviction(p.fingerprint)
+		g.saveQuarantine(p.fingerprint)
 	}
 	return true
 }
 
 // addStrike records a strike that this instance has seen or was told of. It reports
-// whether the request is convicted by it. The caller must hold mu.
+// whether the request is quarantined by it. The caller must hold mu.
 func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome) bool {
 	return st.strikes.AddStrike(boot.Now(), f, quarantine.TallyStrike{
 		Target: targetName,
@@ -156,9 +156,9 @@
 	})
 }
 
-// saveConviction has the store changed to what is known of a request's conviction, if that
+// saveQuarantine has the store changed to what is known of a request's quarantine, if that
 // is necessary and not too many others wait for it.
-func (g *Gateway) saveConviction(f quarantine.Fingerprint) {
+func (g *Gateway) saveQuarantine(f quarantine.Fingerprint) {
 	select {
 	case g.unsaved <- f:
 	default:
@@ -166,9 +166,9 @@
 	}
 }
 
-// saveConvictions changes the store for each request that saveConviction names, until ctx
+// saveQuarantines changes the store for each request that saveQuarantine names, until ctx
 // ends.
-func (g *Gateway) saveConvictions(ctx context.Context) {
+func (g *Gateway) saveQuarantines(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -176,13 +176,13 @@
 		case f := <-g.unsaved:
 			g.backoff.wait(ctx)
 			if err := g.saveOnce(ctx, f); err != nil {
-				g.logStoreFailure(ctx, "conviction", err)
+				g.logStoreFailure(ctx, "quarantine", err)
 			}
 		}
 	}
 }
 
-// saveOnce stores a request's conviction with a lease if others may not find it there, and
+// saveOnce stores a request's quarantine with a lease if others may not find it there, and
 // deletes it if the request has been cleared. If another instance changes it first, that
 // is left as it is.
 func (g *Gateway) saveOnce(ctx context.Context, f quarantine.Fingerprint) error {
@@ -190,15 +190,15 @@
 	defer cancel()
 	var targets []string
 	var stored store.Entry
-	unsaved, convicted := false, false
+	unsaved, quarantined := false, false
 	g.state.withLock(func() {
 		now := boot.Now()
 		targets, unsaved = g.state.strikes.Unsaved(now, f)
-		convicted = g.state.strikes.Remaining(now, f) > 0
-		stored, _ = g.state.mirror.Entry(convictionKey(f))
+		quarantined = g.state.strikes.Remaining(now, f) > 0
+		stored, _ = g.state.mirror.Entry(quarantineKey(f))
 	})
 	switch {
-	case !convicted && stored.Version != 0:
+	case !quarantined && stored.Version != 0:
 		_, err := g.callStore(ctx, store.Delete{
 			Key:      stored.Key,
 			Expected: stored.Version,
@@ -207,20 +207,20 @@
 	case !unsaved:
 		return nil
 	}
-	value, err := json.Marshal(convictionValue{
+	value, err := json.Marshal(quarantineValue{
 		Targets: targets,
 	})
 	if err != nil {
-		return errors.Wrap(err, "encode conviction")
+		return errors.Wrap(err, "encode quarantine entry")
 	}
 	answer, err := g.callStore(ctx, store.GrantLease{
-		Term: quarantine.ConvictionTerm,
+		Term: quarantine.TallyTerm,
 	})
 	if err != nil {
 		return err
 	}
 	_, err = g.callStore(ctx, store.Swap{
-		Key:      convictionKey(f),
+		Key:      quarantineKey(f),
 		Value:    value,
 		Expected: stored.Version,
 		Lease:    answer.(store.Leased).Lease,
@@ -228,20 +228,20 @@
 	return err
 }
 
-// applyConviction applies a changed or removed conviction of the store. outage says that
+// applyQuarantine applies a changed or removed entry of the store. outage says that
 // the store may have been unreachable, so that its lease may have expired too early.
-func (st *localState) applyConviction(now time.Duration, e store.Entry, outage bool) {
-	f, err := quarantine.ParseFingerprint(strings.TrimPrefix(e.Key, convictionPrefix))
+func (st *localState) applyQuarantine(now time.Duration, e store.Entry, outage bool) {
+	f, err := quarantine.ParseFingerprint(strings.TrimPrefix(e.Key, quarantinePrefix))
 	if err != nil {
-		st.gateway.logger.Warn("invalid conviction ignored",
+		st.gateway.logger.Warn("invalid quarantine entry ignored",
 			slog.String("Key", e.Key),
 			slog.String("Error", err.Error()))
 		return
 	}
-	var v convictionValue
+	var v quarantineValue
 	switch {
 	case e.Version != 0:
-		// The key alone convicts the request. The value is only for operators.
+		// The key alone quarantines the request. The value is only for operators.
 		_ = json.Unmarshal(e.Value, &v)
 		st.strikes.Stored(now, f, v.Targets)
 	case outage:
@@ -249,7 +249,7 @@
 	default:
 		st.strikes.Clear(f)
 	}
-	st.gateway.logger.Info("conviction changed",
+	st.gateway.logger.Info("quarantine changed",
 		slog.String("Fingerprint", f.String()),
 		slog.Int64("Counter", max(e.Version, e.RemovedAt)),
 		slog.Bool("Holds", e.Version != 0),
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -15,10 +15,10 @@
 const (
 	// crashLimit is the number of crashed targets after which a request must be refused,
 	// and maxLateArrivals the number of times that it may still reach a target once
-	// convictionTime has passed since then.
+	// quarantineTime has passed since then.
 	crashLimit      = 3
 	maxLateArrivals = 3
-	convictionTime  = 3 * time.Second
+	quarantineTime  = 3 * time.Second
 )
 
 // crashTestZones are the zones of the instances.
@@ -49,8 +49,8 @@
 	return all
 }
 
-// convictions returns the keys of the convictions that the store holds.
-func (f *testFleet) convictions() []string {
+// quarantined returns the keys of the quarantined requests that the store holds.
+func (f *testFleet) quarantined() []string {
 	entries, _ := f.memory.content()
 	var keys []string
 	for key := range entries {
@@ -117,7 +117,7 @@
 			for i := 0; f.crashes() < crashLimit; i++ {
 				f.sendCrashing(f.instances[i%len(f.instances)], tt.method)
 			}
-			time.Sleep(convictionTime)
+			time.Sleep(quarantineTime)
 			if tt.after != nil {
 				tt.after(f)
 			}
@@ -134,16 +134,16 @@
 	}
 }
 
-// Guards against a conviction that instances started later don't find because the store has
+// Guards against a quarantine that instances started later don't find because the store has
 // lost it.
-func TestConvictionIsStoredAgainAfterStoreWasSetBack(t *testing.T) {
+func TestQuarantineIsStoredAgainAfterStoreWasSetBack(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(t, 3, 6)
 	entries, counter := f.memory.content()
 	for i := 0; f.crashes() < crashLimit; i++ {
 		f.sendCrashing(f.instances[i%len(f.instances)], http.MethodPost)
 	}
-	isStored := func() bool { return len(f.convictions()) == 1 }
+	isStored := func() bool { return len(f.quarantined()) == 1 }
 	f.await(isStored)
 	f.memory.setBack(entries, counter)
 	is.True(!isStored())
@@ -151,16 +151,16 @@
 }
 
 // Guards against a request that operators can't let pass again.
-func TestConvictionEndsWhenItsKeyIsDeleted(t *testing.T) {
+func TestQuarantineEndsWhenItsKeyIsDeleted(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(t, 3, 6)
 	for i := 0; f.crashes() < crashLimit; i++ {
 		f.sendCrashing(f.instances[i%len(f.instances)], http.MethodPost)
 	}
 	// An instance that doesn't know yet that it is stored would store it again.
-	f.await(func() bool { return strings.Count(f.log.String(), "msg=\"conviction changed\"") == len(f.instances) })
+	f.await(func() bool { return strings.Count(f.log.String(), "msg=\"quarantine changed\"") == len(f.instances) })
 	is.Equal(f.sendCrashing(f.instances[0], http.MethodPost), http.StatusServiceUnavailable)
-	f.memory.put(f.convictions()[0], nil, 0)
+	f.memory.put(f.quarantined()[0], nil, 0)
 	for _, g := range f.instances {
 		f.await(func() bool { return f.send(g, http.MethodPost, "/one/crash", "key-1") == http.StatusOK })
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -163,7 +163,7 @@
 	}
 	if setBack && st.gateway.readingStore.Load() {
 		for _, f := range st.strikes.AllUnsaved(now) {
-			st.gateway.saveConviction(f)
+			st.gateway.saveQuarantine(f)
 		}
 	}
 	st.publishTrust()
@@ -183,8 +183,8 @@
 			st.applyConfiguration(e)
 		case strings.HasPrefix(e.Key, st.gateway.adapters.TargetPrefix):
 			targetsChanged = st.applyTarget(now, e, outage) || targetsChanged
-		case strings.HasPrefix(e.Key, convictionPrefix):
-			st.applyConviction(now, e, outage)
+		case strings.HasPrefix(e.Key, quarantinePrefix):
+			st.applyQuarantine(now, e, outage)
 		case strings.HasPrefix(e.Key, memberPrefix):
 			st.applyMember(now, e, outage)
 			membersChanged = true
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -31,9 +31,10 @@
 // requests. Strikes from one target are therefore limited, and package target
 // decides about the target. The table of strikes is bounded.
 //
-// Tally is a simpler, separate rule: one instance counts the different targets that a
-// request crashed and refuses it once there are three, without permits or an
-// authority.
+// Tally is a simpler, separate rule: each instance counts the different targets that a
+// request crashed, as far as it was told, and refuses it once there are three, without
+// permits or an authority. Quarantined requests are stored where instances that start
+// later find them.
 //
 // # Usage
 //
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -13,23 +13,24 @@
 	// tallyLimit is how many targets a request crashes before it is refused. With
 	// fewer, requests that met targets with gray failures would be refused too.
 	tallyLimit = 3
-	// ConvictionTerm is how long strikes count and how long a request is refused, unless
-	// it is convicted again. It is the longest term of a lease in the platform's store.
-	ConvictionTerm = 10 * time.Minute
+	// TallyTerm is how long strikes count and how long a request is refused, unless
+	// it is quarantined again. It is the longest term of a lease in the platform's store.
+	TallyTerm = 10 * time.Minute
 	// maxSuspects bounds the number of requests whose strikes are kept. The ones whose
 	// last strike is the oldest are dropped.
 	maxSuspects = 16384
-	// maxConvictions bounds the number of requests that are refused.
-	maxConvictions = 4096
+	// maxQuarantined bounds the number of requests that are refused.
+	maxQuarantined = 4096
 )
 
 // Tally counts the targets that each request crashed, as far as one instance knows. It
-// works without an authority: instances tell each other of strikes, and keep convictions
-// where instances that start later find them. It is not safe for concurrent use.
+// works without an authority: instances tell each other of strikes, and store the
+// quarantined requests where instances that start later find them. It is not safe for
+// concurrent use.
 type Tally struct {
 	suspects *simplelru.LRU[Fingerprint, []timedStrike]
-	// convictions holds the requests that are refused.
-	convictions map[Fingerprint]conviction
+	// quarantined holds the requests that are refused.
+	quarantined map[Fingerprint]quarantineEntry
 }
 
 // TallyStrike is the end of a target's connection while a request ran there.
@@ -46,12 +47,12 @@
 	at time.Duration
 }
 
-// conviction says that a request must not run.
-type conviction struct {
+// quarantineEntry says that a request must not run.
+type quarantineEntry struct {
 	until time.Duration
 	// targets are those that the request crashed, as far as known.
 	targets []string
-	// storedAt is when the conviction was last stored where others find it, and zero if it
+	// storedAt is when the entry was last stored where others find it, and zero if it
 	// isn't there.
 	storedAt time.Duration
 }
@@ -64,41 +65,41 @@
 	}
 	return &Tally{
 		suspects:    suspects,
-		convictions: map[Fingerprint]conviction{},
+		quarantined: map[Fingerprint]quarantineEntry{},
 	}
 }
 
 // AddStrike records a strike of the request. Each target counts once. It reports whether
-// the request is convicted now and wasn't before.
+// the request is quarantined now and wasn't before.
 func (t *Tally) AddStrike(now time.Duration, f Fingerprint, s TallyStrike) bool {
 	list, _ := t.suspects.Get(f)
 	list = slices.DeleteFunc(list, func(old timedStrike) bool {
 		if old.Target == s.Target {
 			s.Kept = s.Kept && old.Kept
 		}
-		return old.Target == s.Target || now-old.at > ConvictionTerm
+		return old.Target == s.Target || now-old.at > TallyTerm
 	})
 	list = append(list, timedStrike{
 		TallyStrike: s,
 		at:          now,
 	})
 	t.suspects.Add(f, list)
-	if !guilty(list) || t.Remaining(now, f) > 0 {
+	if !overLimit(list) || t.Remaining(now, f) > 0 {
 		return false
 	}
 	targets := make([]string, len(list))
 	for i, s := range list {
 		targets[i] = s.Target
 	}
-	return t.convict(now, f, conviction{
-		until:   now + ConvictionTerm,
+	return t.quarantine(now, f, quarantineEntry{
+		until:   now + TallyTerm,
 		targets: targets,
 	})
 }
 
-// guilty reports whether the strikes convict a request. Kept connections alone don't,
+// overLimit reports whether the strikes quarantine a request. Kept connections alone don't,
 // because targets that drop idle connections drop many of them.
-func guilty(list []timedStrike) bool {
+func overLimit(list []timedStrike) bool {
 	crashed := 0
 	for _, s := range list {
 		if !s.Kept {
@@ -108,51 +109,51 @@
 	return crashed > 0 && len(list) >= tallyLimit
 }
 
-// convict records a conviction. It reports false if there are too many.
-func (t *Tally) convict(now time.Duration, f Fingerprint, c conviction) bool {
-	if _, ok := t.convictions[f]; !ok && len(t.convictions) >= maxConvictions {
-		maps.DeleteFunc(t.convictions, func(_ Fingerprint, c conviction) bool { return now >= c.until })
-		if len(t.convictions) >= maxConvictions {
+// quarantine records that a request must not run. It reports false if there are too many.
+func (t *Tally) quarantine(now time.Duration, f Fingerprint, e quarantineEntry) bool {
+	if _, ok := t.quarantined[f]; !ok && len(t.quarantined) >= maxQuarantined {
+		maps.DeleteFunc(t.quarantined, func(_ Fingerprint, e quarantineEntry) bool { return now >= e.until })
+		if len(t.quarantined) >= maxQuarantined {
 			return false
 		}
 	}
-	t.convictions[f] = c
+	t.quarantined[f] = e
 	return true
 }
 
-// Stored records that the request's conviction has just been stored where others find it,
+// Stored records that the request's entry has just been stored where others find it,
 // with the targets that it crashed.
 func (t *Tally) Stored(now time.Duration, f Fingerprint, targets []string) {
-	t.convict(now, f, conviction{
-		until:    now + ConvictionTerm,
+	t.quarantine(now, f, quarantineEntry{
+		until:    now + TallyTerm,
 		targets:  targets,
 		storedAt: now,
 	})
 }
 
-// Unstored records that a conviction isn't to be found any more where others find it,
-// although it holds.
+// Unstored records that a request's entry isn't to be found any more where others find it,
+// although it is quarantined.
 func (t *Tally) Unstored(f Fingerprint) {
-	if c, ok := t.convictions[f]; ok {
+	if c, ok := t.quarantined[f]; ok {
 		c.storedAt = 0
-		t.convictions[f] = c
+		t.quarantined[f] = c
 	}
 }
 
-// Unsaved returns the targets that a convicted request crashed, and true if its conviction
+// Unsaved returns the targets that a quarantined request crashed, and true if its entry
 // must be stored: others may not find it, or not for much longer.
 func (t *Tally) Unsaved(now time.Duration, f Fingerprint) ([]string, bool) {
-	c, ok := t.convictions[f]
+	c, ok := t.quarantined[f]
 	if !ok || now >= c.until {
 		return nil, false
 	}
-	return c.targets, c.storedAt == 0 || now-c.storedAt > ConvictionTerm/2
+	return c.targets, c.storedAt == 0 || now-c.storedAt > TallyTerm/2
 }
 
-// AllUnsaved returns the requests whose conviction must be stored.
+// AllUnsaved returns the quarantined requests whose entries must be stored.
 func (t *Tally) AllUnsaved(now time.Duration) []Fingerprint {
 	var list []Fingerprint
-	for f := range t.convictions {
+	for f := range t.quarantined {
 		if _, unsaved := t.Unsaved(now, f); unsaved {
 			list = append(list, f)
 		}
@@ -162,22 +163,22 @@
 
 // Remaining returns how long the request must not run, and zero if it may.
 func (t *Tally) Remaining(now time.Duration, f Fingerprint) time.Duration {
-	return max(t.convictions[f].until-now, 0)
+	return max(t.quarantined[f].until-now, 0)
 }
 
 // Suspect reports whether the request has any strikes.
 func (t *Tally) Suspect(now time.Duration, f Fingerprint) bool {
 	list, ok := t.suspects.Peek(f)
-	return ok && now-list[len(list)-1].at <= ConvictionTerm
+	return ok && now-list[len(list)-1].at <= TallyTerm
 }
 
-// Clear deletes the strikes and the conviction of a request that a target answered. It
+// Clear ends the quarantine and deletes the strikes of a request that a target answered. It
 // reports whether the other instances should clear it, too, because one more strike would
-// have convicted it.
+// have quarantined it.
 func (t *Tally) Clear(f Fingerprint) bool {
 	list, _ := t.suspects.Peek(f)
-	_, convicted := t.convictions[f]
+	_, quarantined := t.quarantined[f]
 	t.suspects.Remove(f)
-	delete(t.convictions, f)
-	return convicted || len(list) >= tallyLimit-1
+	delete(t.quarantined, f)
+	return quarantined || len(list) >= tallyLimit-1
 }
--- a/pkg/quarantine/tally_test.go
+++ b/pkg/quarantine/tally_test.go
@@ -32,10 +32,10 @@
 	is.Equal(tally.Remaining(now, f), time.Duration(0))
 	is.True(tally.Suspect(now, f))
 	is.True(strike(tally, "desk-3"))
-	is.True(!strike(tally, "desk-4")) // it was convicted before
-	is.Equal(tally.Remaining(now, f), quarantine.ConvictionTerm)
+	is.True(!strike(tally, "desk-4")) // it was quarantined before
+	is.Equal(tally.Remaining(now, f), quarantine.TallyTerm)
 	is.Equal(tally.Remaining(now, quarantine.Fingerprint{2}), time.Duration(0))
-	is.Equal(tally.Remaining(now+quarantine.ConvictionTerm, f), time.Duration(0))
+	is.Equal(tally.Remaining(now+quarantine.TallyTerm, f), time.Duration(0))
 	is.True(tally.Clear(f))
 	is.Equal(tally.Remaining(now, f), time.Duration(0))
 	is.True(!tally.Suspect(now, f))
@@ -47,17 +47,17 @@
 	is := is.New(t)
 	tally := quarantine.NewTally()
 	for i, target := range []string{"desk-1", "desk-2", "desk-3"} {
-		convicted := tally.AddStrike(time.Duration(i+1)*4*time.Minute, f, quarantine.TallyStrike{
+		quarantined := tally.AddStrike(time.Duration(i+1)*4*time.Minute, f, quarantine.TallyStrike{
 			Target: target,
 		})
-		is.Equal(convicted, i == 2)
+		is.Equal(quarantined, i == 2)
 	}
 }
 
 // Guards against requests that are refused because targets dropped their idle
 // connections, and against crashing requests that are never refused because each instance
 // sends them on a kept connection.
-func TestKeptConnectionsAloneConvictNobody(t *testing.T) {
+func TestKeptConnectionsAloneQuarantineNothing(t *testing.T) {
 	is := is.New(t)
 	tally := quarantine.NewTally()
 	for _, target := range []string{"desk-1", "desk-2", "desk-3", "desk-4"} {
@@ -70,7 +70,7 @@
 	is.True(strike(tally, "desk-5"))
 }
 
-// Others need to clear a request only if one more strike would convict it there.
+// Others need to clear a request only if one more strike would quarantine it there.
 func TestClearIsToldFromTheSecondStrike(t *testing.T) {
 	is := is.New(t)
 	tally := quarantine.NewTally()
@@ -82,9 +82,9 @@
 	is.True(tally.Clear(f))
 }
 
-// Guards against a conviction that new instances don't find, and against one that every
+// Guards against an entry that new instances don't find, and against one that every
 // instance stores again with each refusal.
-func TestConvictionsAreStoredOnceAndRenewed(t *testing.T) {
+func TestQuarantinesAreStoredOnceAndRenewed(t *testing.T) {
 	is := is.New(t)
 	tally := quarantine.NewTally()
 	unsaved := func(at time.Duration) bool {
@@ -99,11 +99,11 @@
 	targets, _ := tally.Unsaved(now, f)
 	is.Equal(targets, []string{"desk-1", "desk-2", "desk-3"})
 	tally.Stored(now, f, targets)
-	is.True(!unsaved(now + quarantine.ConvictionTerm/2))
-	is.True(unsaved(now + quarantine.ConvictionTerm*3/4))
+	is.True(!unsaved(now + quarantine.TallyTerm/2))
+	is.True(unsaved(now + quarantine.TallyTerm*3/4))
 	tally.Unstored(f)
 	is.True(unsaved(now))
-	is.Equal(tally.Remaining(now, f), quarantine.ConvictionTerm)
+	is.Equal(tally.Remaining(now, f), quarantine.TallyTerm)
 }
 
 // The tally must not grow without bound, and the oldest strikes must make room for new
