Log attempts that reach no target, and let the dialer of targets be set

Each such attempt now has a line with its stage, time and error. Tests can give each instance links of its own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -311,6 +311,9 @@
 		return p.checkAnswer(ctx, r)
 	case forward.Failed:
 		failure := p.classifyFailure(ctx, r.Err)
+		if failure.outcome == target.Refused {
+			p.logUnsent(r.Err)
+		}
 		p.release(AttemptResult{
 			Outcome: failure.outcome,
 			Reused:  r.Err.Reused,
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"dandelionmux/internal/forward"
 )
 
 // Explainer is implemented by slots that can report why their target was chosen.
@@ -69,6 +71,20 @@
 	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, placedMessage, attributes...)
 }
 
+// logUnsent logs why an attempt did not reach its target.
+func (p *placedAttempt) logUnsent(err *forward.Error) {
+	x := p.exchange
+	if !x.handler.logDecisions {
+		return
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "target not reached",
+		slog.String("Request", x.id),
+		slog.String("Target", p.slot.Target().Name),
+		slog.String("Stage", err.Stage.String()),
+		slog.Duration("Took", time.Since(p.began)),
+		slog.String("Error", err.Unwrap().Error()))
+}
+
 // logEnd logs how a request ended. Keys and paths of requests are never logged.
 func (x *exchange) logEnd(message, reason string, status int) {
 	if !x.handler.logDecisions {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,9 +30,13 @@
 	transport *http.Transport
 	// newConnections serves the attempts that need a new connection.
 	newConnections *http.Transport
-	dialer         net.Dialer
+	dialTimeout    time.Duration
+	dialContext    DialContext
 }
 
+// DialContext establishes a connection, like net.Dialer.DialContext.
+type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Option configures a Client.
 type Option func(*Client)
 
@@ -45,15 +49,19 @@
 // WithDialTimeout limits how long establishing a connection may take. The
 // default is DefaultDialTimeout.
 func WithDialTimeout(d time.Duration) Option {
-	return func(c *Client) { c.dialer.Timeout = d }
+	return func(c *Client) { c.dialTimeout = d }
+}
+
+// WithDialContext sets how connections are established. The default is a net.Dialer.
+func WithDialContext(dial DialContext) Option {
+	return func(c *Client) { c.dialContext = dial }
 }
 
 // New returns a Client with the given options.
 func New(options ...Option) *Client {
 	c := &Client{
-		dialer: net.Dialer{
-			Timeout: DefaultDialTimeout,
-		},
+		dialTimeout: DefaultDialTimeout,
+		dialContext: new(net.Dialer).DialContext,
 	}
 	c.transport = &http.Transport{
 		DialContext:            c.dial,
@@ -76,7 +84,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := c.dialer.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+	raw, err := c.dialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,8 @@
 	logger   *slog.Logger
 	registry metrics.Registry
 	self     instance.Info
+	// dialTarget establishes connections to targets.
+	dialTarget forward.DialContext
 
 	datagrams   *net.UDPConn
 	listeners   []net.Listener
@@ -82,6 +84,12 @@
 	return func(g *Gateway) { g.registry = r }
 }
 
+// WithTargetDialer sets how connections to targets are established. The default is a
+// net.Dialer.
+func WithTargetDialer(dial forward.DialContext) Option {
+	return func(g *Gateway) { g.dialTarget = dial }
+}
+
 // Start starts an instance. s must have passed Check. Start returns once the instance
 // listens, or an error if it can't listen on an address. The instance reports that it is
 // ready once it has a configuration.
@@ -97,6 +105,7 @@
 			},
 			Zone: s.Zone,
 		},
+		dialTarget: new(net.Dialer).DialContext,
 		pending:    newPendingRequests(),
 		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedEntries),
 		peerClient: newPeerClient(),
@@ -193,7 +202,8 @@
 		entry.WithMetrics(g.registry),
 		entry.WithClient(forward.New(
 			forward.WithIdleTimeout(targetIdleTimeout),
-			forward.WithDialTimeout(targetDialTimeout))))
+			forward.WithDialTimeout(targetDialTimeout),
+			forward.WithDialContext(g.dialTarget))))
 	g.serve(entryListener, handler)
 	g.serve(readyListener, http.HandlerFunc(g.serveReady))
 	g.serve(peerListener, http.HandlerFunc(g.serveMirror))
