--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -224,8 +224,10 @@
 	memory    *memoryStore
 	clients   []*storeClient
 	instances []*gateway.Gateway
-	targets   []*standin.TargetServer
-	log       *logBuffer
+	// links are those of the instances to the targets.
+	links   []*testLinks
+	targets []*standin.TargetServer
+	log     *logBuffer
 }
 
 // logBuffer collects log output in memory.
@@ -247,7 +249,8 @@
 	return b.text.String()
 }
 
-// configuration is the operators' configuration in a form of this test.
+// configuration is the operators' configuration in a form of this test. Path leads to the
+// service desk, and /mill to the service mill.
 type configuration struct {
 	Revision uint64
 	Keys     []string
@@ -260,14 +263,15 @@
 	configurationKey    = "configuration"
 	targetPrefix        = "targets/"
 	maxConfigurationAge = 3 * time.Second
+	routeTimeout        = 5 * time.Second
 	// The settings of the retry budget.
 	retryRatio  = 0.2
 	baseRetries = 60
 	retryWindow = 10 * time.Second
 )
 
-// newTestFleet starts targets and instances in zone a, and waits until the instances
-// know each other.
+// newTestFleet starts targets of the service desk and instances in zone a, and waits until
+// the instances know each other.
 func newTestFleet(t *testing.T, instances, targets int) *testFleet {
 	t.Helper()
 	f := &testFleet{
@@ -275,14 +279,7 @@
 		memory: newMemoryStore(),
 		log:    &logBuffer{},
 	}
-	for i := range targets {
-		name := "desk-" + string(rune('a'+i))
-		s, err := standin.ServeTarget(name, "127.0.0.1:0", time.Second, standin.TargetWorkTime(time.Millisecond))
-		is.New(t).NoErr(err)
-		t.Cleanup(s.Close)
-		f.targets = append(f.targets, s)
-		f.memory.put(targetPrefix+name, []byte(s.Address()), 0)
-	}
+	f.startTargets("desk", targets)
 	f.configure(configuration{
 		Revision: 1,
 		Keys:     []string{"key-1"},
@@ -295,6 +292,19 @@
 	return f
 }
 
+// startTargets starts targets of a service and registers them.
+func (f *testFleet) startTargets(service string, number int) {
+	f.t.Helper()
+	for i := range number {
+		name := service + "-" + string(rune('a'+i))
+		s, err := standin.ServeTarget(name, "127.0.0.1:0", time.Second, standin.TargetWorkTime(time.Millisecond))
+		is.New(f.t).NoErr(err)
+		f.t.Cleanup(s.Close)
+		f.targets = append(f.targets, s)
+		f.memory.put(targetPrefix+name, []byte(s.Address()), 0)
+	}
+}
+
 // awaitMembers waits until all instances are ready and know each other.
 func (f *testFleet) awaitMembers() {
 	f.t.Helper()
@@ -318,6 +328,7 @@
 	d := &storeClient{
 		memory: f.memory,
 	}
+	links := newTestLinks()
 	g, err := gateway.Start(gateway.Settings{
 		Name:                "test",
 		Zone:                zone,
@@ -339,10 +350,12 @@
 		TargetPrefix:        targetPrefix,
 		DecodeConfiguration: parseConfiguration,
 		DecodeTarget:        parseTarget,
-	}, gateway.WithLogger(slog.New(slog.NewTextHandler(f.log, nil)).With(slog.Int("Instance", len(f.instances)))))
+	}, gateway.WithLogger(slog.New(slog.NewTextHandler(f.log, nil)).With(slog.Int("Instance", len(f.instances)))),
+		gateway.WithTargetDialer(links.dial))
 	is.New(f.t).NoErr(err)
 	f.t.Cleanup(g.Close)
 	f.clients = append(f.clients, d)
+	f.links = append(f.links, links)
 	f.instances = append(f.instances, g)
 }
 
@@ -351,18 +364,24 @@
 	if err := json.Unmarshal(value, &c); err != nil {
 		return document.Document{}, errors.Wrap(err, "configuration")
 	}
-	d := document.Document{
-		Revision: c.Revision,
-		Policy:   document.DefaultPolicy(),
-		Routes: []document.Route{{
-			Name:       "route",
-			PathPrefix: c.Path,
-			Service:    "desk",
-			Timeout:    5 * time.Second,
+	route := func(name, path, service string) document.Route {
+		return document.Route{
+			Name:       name,
+			PathPrefix: path,
+			Service:    service,
+			Timeout:    routeTimeout,
 			Key: document.KeyLocation{
 				Place: document.InBearer,
 			},
-		}},
+		}
+	}
+	d := document.Document{
+		Revision: c.Revision,
+		Policy:   document.DefaultPolicy(),
+		Routes: []document.Route{
+			route("route", c.Path, "desk"),
+			route("mill", "/mill", "mill"),
+		},
 		Organisations: []document.Organisation{{
 			Name: "orchard",
 		}},
@@ -384,10 +403,12 @@
 	if !strings.Contains(string(value), ":") {
 		return target.Registration{}, errors.Errorf("%s: no address", key)
 	}
+	name := strings.TrimPrefix(key, targetPrefix)
+	service, _, _ := strings.Cut(name, "-")
 	return target.Registration{
-		Service: "desk",
+		Service: service,
 		Target: document.Target{
-			Name:    strings.TrimPrefix(key, targetPrefix),
+			Name:    name,
 			Address: string(value),
 			Zone:    "a",
 			Slots:   6,
--- /dev/null
+++ b/internal/gateway/links_test.go
@@ -0,0 +1,243 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/gateway"
+	"dandelionmux/internal/standin"
+)
+
+const (
+	// noticeTime is how long an instance may take to notice that its links are gone or
+	// back.
+	noticeTime = time.Second
+	// maxWait is the longest that a request that reaches no target may be held.
+	maxWait = time.Second
+)
+
+// linkShapes are the ways in which an instance loses its links to targets.
+var linkShapes = []struct {
+	name  string
+	state linkState
+}{
+	{
+		name:  "packets lost",
+		state: linksSilent,
+	},
+	{
+		name:  "connections reset",
+		state: linksReset,
+	},
+	{
+		name:  "only new connections fail",
+		state: linksClosed,
+	},
+}
+
+// reply is what a caller got for a request.
+type reply struct {
+	status     int
+	took       time.Duration
+	retryAfter string
+	sentAt     time.Time
+	// execution counts the request's runs at the targets.
+	execution string
+}
+
+// exchange sends a request, whose runs are counted, to an instance.
+func (f *testFleet) exchange(g *gateway.Gateway, method, path, execution string) reply {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+g.EntryAddress()+path, strings.NewReader("body"))
+	is.New(f.t).NoErr(err)
+	r.Header.Set("Authorization", "Bearer key-1")
+	r.Header.Set(standin.HeaderExecution, execution)
+	out := reply{
+		sentAt:    time.Now(),
+		execution: execution,
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		out.took = time.Since(out.sentAt)
+		return out
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	out.took = time.Since(out.sentAt)
+	out.status = response.StatusCode
+	out.retryAfter = response.Header.Get("Retry-After")
+	return out
+}
+
+// runs returns how often targets ran the request with the id.
+func (f *testFleet) runs(execution string) int {
+	all := 0
+	for _, s := range f.targets {
+		all += s.Executions()[execution]
+	}
+	return all
+}
+
+// newLinkFleet starts six instances in two zones and two services.
+func newLinkFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := newTestFleet(t, 3, 4)
+	f.startTargets("mill", 3)
+	for range 3 {
+		f.startInstance("b")
+	}
+	f.awaitMembers()
+	for _, g := range f.instances {
+		f.await(func() bool { return f.send(g, http.MethodGet, "/mill/1", "key-1") == http.StatusOK })
+		f.await(func() bool { return f.send(g, http.MethodGet, "/one/1", "key-1") == http.StatusOK })
+	}
+	return f
+}
+
+// withoutLinks are the instances of a link fleet that lose their links: the whole zone a,
+// and one of zone b.
+var withoutLinks = []int{0, 1, 2, 3}
+
+// cutLinks sets the state of the links of some instances.
+func (f *testFleet) cutLinks(instances []int, s linkState) {
+	for _, i := range instances {
+		f.links[i].set(s)
+	}
+}
+
+// Guards against an instance that holds or refuses its callers because it has lost its
+// links to all targets, while other instances have theirs.
+func TestCallersOfInstanceWithoutLinksAreServed(t *testing.T) {
+	const (
+		rounds = 30
+		pause  = 100 * time.Millisecond
+	)
+	for _, shape := range linkShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newLinkFleet(t)
+			f.cutLinks(withoutLinks, shape.state)
+			cutAt := time.Now()
+			var mu sync.Mutex
+			var replies []reply
+			var calls sync.WaitGroup
+			for n := range rounds {
+				for _, i := range withoutLinks {
+					for k, path := range []string{"/one/1", "/mill/1"} {
+						method := []string{http.MethodGet, http.MethodPost}[(n+k)%2]
+						calls.Go(func() {
+							out := f.exchange(f.instances[i], method, path, fmt.Sprintf("%d-%d-%d", n, i, k))
+							mu.Lock()
+							defer mu.Unlock()
+							replies = append(replies, out)
+						})
+					}
+				}
+				time.Sleep(pause)
+			}
+			calls.Wait()
+			for _, out := range replies {
+				if out.sentAt.Sub(cutAt) > noticeTime {
+					is.Equal(out.status, http.StatusOK)
+				}
+				if out.status == http.StatusServiceUnavailable {
+					is.True(out.took < maxWait)
+					is.Equal(f.runs(out.execution), 0)
+				}
+				is.True(f.runs(out.execution) <= 1)
+			}
+		})
+	}
+}
+
+// Guards against targets that are ejected everywhere because an instance without links
+// reports the connections that it has lost.
+func TestInstanceWithoutLinksBlamesNoTarget(t *testing.T) {
+	for _, shape := range linkShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newLinkFleet(t)
+			for _, s := range f.targets {
+				// Requests take 0.3 s, so that some run when the links go.
+				s.SetFaults(standin.TargetFaults{SlowFactor: 300})
+			}
+			var calls sync.WaitGroup
+			for n := range 3 {
+				for _, i := range withoutLinks {
+					for k, path := range []string{"/one/1", "/mill/1"} {
+						method := []string{http.MethodGet, http.MethodPost}[(n+k)%2]
+						calls.Go(func() { f.exchange(f.instances[i], method, path, fmt.Sprintf("%d-%d-%d", n, i, k)) })
+					}
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			f.cutLinks(withoutLinks, shape.state)
+			healthy := func(instances []*gateway.Gateway) bool {
+				for _, g := range instances {
+					content := f.metrics(g)
+					for _, count := range []string{"Targets.desk.Healthy 4\n", "Targets.mill.Healthy 3\n"} {
+						if !strings.Contains(content, count) {
+							return false
+						}
+					}
+				}
+				return true
+			}
+			// Long enough for requests to time out at their targets.
+			for range 40 {
+				is.True(healthy(f.instances[len(withoutLinks):]))
+				time.Sleep(100 * time.Millisecond)
+			}
+			f.cutLinks(withoutLinks, linksUp)
+			time.Sleep(noticeTime)
+			is.True(healthy(f.instances))
+			calls.Wait()
+			is.True(healthy(f.instances))
+			is.True(!strings.Contains(f.log.String(), "msg=strike"))
+		})
+	}
+}
+
+// Guards against callers that wait although it is known that no instance has links to the
+// targets.
+func TestRequestsAreRefusedAtOnceIfNoInstanceHasLinks(t *testing.T) {
+	for _, shape := range linkShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newLinkFleet(t)
+			all := []int{0, 1, 2, 3, 4, 5}
+			f.cutLinks(all, shape.state)
+			var calls sync.WaitGroup
+			for _, i := range all {
+				calls.Go(func() { f.exchange(f.instances[i], http.MethodPost, "/one/1", "") })
+				calls.Go(func() { f.exchange(f.instances[i], http.MethodPost, "/mill/1", "") })
+			}
+			calls.Wait()
+			time.Sleep(noticeTime)
+			for n := range 20 {
+				for _, i := range all {
+					out := f.exchange(f.instances[i], http.MethodPost, "/one/1", fmt.Sprintf("%d-%d", n, i))
+					is.Equal(out.status, http.StatusServiceUnavailable)
+					is.True(out.retryAfter != "")
+					is.True(out.took < 100*time.Millisecond)
+					is.Equal(f.runs(out.execution), 0)
+				}
+			}
+			f.cutLinks(all, linksUp)
+			time.Sleep(noticeTime)
+			for _, i := range all {
+				is.Equal(f.exchange(f.instances[i], http.MethodPost, "/one/1", "").status, http.StatusOK)
+			}
+		})
+	}
+}
