Blame no target for failures that an instance's own lost links explain

What callers saw: connections that one instance lost ejected the targets at all instances. Cause: each dead connection was reported at once, as a crash of its target, although an instance that loses its links sees that of all targets. Evidence: TestInstanceWithoutLinksBlamesNoTarget failed with reset connections and with lost packets. Now a dead, silent or missing connection is held until another connection to the service's targets, begun later, is established: by the next request, or after 10 ms by a test. If none is, it is excused if another instance reaches the service or this one reaches none. The same holds for strikes of quarantine and for probation.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -35,6 +35,8 @@
 	// prefix is the beginning of the body, or all of it if complete is set.
 	prefix   []byte
 	complete bool
+	// cutShort is set if the body broke off or stopped before its end.
+	cutShort bool
 	// finished is set once the slot has been given back.
 	finished bool
 }
@@ -71,6 +73,7 @@
 // bodyFailure returns the outcome of an attempt whose answer broke off while the
 // beginning of its body was read.
 func (p *placedAttempt) bodyFailure(ctx context.Context, a *answer) attemptOutcome {
+	a.cutShort = true
 	if ctx.Err() != nil {
 		failure := p.timeoutFailure()
 		a.finish(failure.outcome)
@@ -191,10 +194,11 @@
 	}
 	_ = a.response.Body.Close()
 	a.attempt.release(AttemptResult{
-		Outcome:     outcome,
-		Misdirected: a.response.StatusCode == http.StatusMisdirectedRequest,
-		Draining:    a.draining(),
-		Limit:       a.limit(outcome),
+		Outcome:        outcome,
+		LostConnection: a.cutShort,
+		Misdirected:    a.response.StatusCode == http.StatusMisdirectedRequest,
+		Draining:       a.draining(),
+		Limit:          a.limit(outcome),
 	})
 }
 
@@ -315,6 +319,7 @@
 			return nil
 		}
 		if err != nil {
+			a.cutShort = true
 			a.finish(target.Truncated)
 			return x.abort(a, "answer-cut-short", err)
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -315,9 +315,10 @@
 			p.logUnsent(r.Err)
 		}
 		p.release(AttemptResult{
-			Outcome: failure.outcome,
-			Reused:  r.Err.Reused,
-			Rested:  r.Err.Rested,
+			Outcome:        failure.outcome,
+			Reused:         r.Err.Reused,
+			Rested:         r.Err.Rested,
+			LostConnection: r.Err.Stage != forward.Gated && !r.Err.Malformed,
 		})
 		return failure
 	}
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -98,6 +98,9 @@
 	// earlier attempt. Rested is then how long the connection had been idle.
 	Reused bool
 	Rested time.Duration
+	// LostConnection is set if the connection to the target wasn't established, died, or
+	// gave no answer in time. The instance's own network link may then be the cause.
+	LostConnection bool
 	// Misdirected is set if the answer came from another target at the same
 	// address (status 421).
 	Misdirected bool
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -185,6 +185,7 @@
 	target          document.Target
 	responseTimeout time.Duration
 	timer           *time.Timer
+	began           time.Duration
 	// targetCounts is the state of the service's targets when this one was chosen.
 	targetCounts outlier.Counts
 	// first is set if this is the request's first attempt.
@@ -206,7 +207,8 @@
 			}
 		})
 	}
-	sl.timer = time.AfterFunc(sl.responseTimeout, sl.reportOverdue)
+	sl.began = boot.Now()
+	sl.timer = time.AfterFunc(sl.responseTimeout, sl.recordOverdue)
 }
 
 // takeBack gives the slot back without an attempt. The target isn't chosen again for the
@@ -238,24 +240,15 @@
 // OverdueAfter implements entry.Slot.
 func (sl *slot) OverdueAfter() time.Duration { return sl.responseTimeout }
 
-// reportOverdue records that the response is overdue, so that the target gets no
-// further requests for a while, and reports that to the other instances. The request
-// itself goes on.
-func (sl *slot) reportOverdue() {
-	g := sl.gateway
-	notify := false
-	g.state.withLock(func() {
-		if s := g.state.services[sl.service]; s != nil {
-			notify = s.table.Overdue(boot.Now(), sl.target.Name)
-		}
+// recordOverdue records that the response is overdue, so that the target gets no further
+// requests for a while, and the other instances are told, unless the instance's own links
+// are the cause. The request itself goes on.
+func (sl *slot) recordOverdue() {
+	sl.gateway.holdFailure(sl.began, attemptReport{
+		service: sl.service,
+		target:  sl.target.Name,
+		outcome: target.TimedOut,
 	})
-	if notify {
-		g.reportFailure(failureReport{
-			Service: sl.service,
-			Target:  sl.target.Name,
-			Outcome: target.TimedOut,
-		}, entry.AttemptResult{})
-	}
 }
 
 // effectiveOutcome returns the outcome that counts for the target. If another target
@@ -272,33 +265,36 @@
 	sl.timer.Stop()
 	g := sl.gateway
 	g.recordLimit(sl.target.Name, e.Limit)
+	report := attemptReport{
+		service: sl.service,
+		target:  sl.target.Name,
+		outcome: sl.effectiveOutcome(e),
+		reused:  e.Reused,
+		rested:  e.Rested,
+		permit:  sl.permit,
+	}
+	held := e.LostConnection && report.outcome != target.Cancelled
 	notify := false
-	outcome := sl.effectiveOutcome(e)
 	g.state.withLock(func() {
 		s := g.state.services[sl.service]
-		if s == nil {
-			return
-		}
-		notify = s.table.Done(boot.Now(), sl.target.Name, outcome)
-		if outcome == target.Succeeded {
-			s.latencies.Add(sl.route, e.Latency)
+		switch {
+		case s == nil:
+		case held:
+			s.table.Done(boot.Now(), sl.target.Name, target.Cancelled)
+		default:
+			notify = s.table.Done(boot.Now(), sl.target.Name, report.outcome)
+			if report.outcome == target.Succeeded {
+				s.latencies.Add(sl.route, e.Latency)
+			}
 		}
 	})
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
-	m := failureReport{
-		Target:  sl.target.Name,
-		Outcome: outcome,
-	}
-	if sl.permit != nil && sl.permit.recordStrike(sl.target.Name, e.Outcome) {
-		m.Suspect = sl.permit.fingerprint
-	}
-	if notify {
-		m.Service = sl.service
-		g.reportFailure(m, e)
-	} else if m.Suspect != (quarantine.Fingerprint{}) {
-		g.sendToFleet(m)
+	if held {
+		g.holdFailure(sl.began, report)
+	} else if notify {
+		g.reportOutcome(report, true)
 	}
 }
 
@@ -310,16 +306,41 @@
 	return "new"
 }
 
-// reportFailure reports a failed attempt at a target to all instances.
-func (g *Gateway) reportFailure(m failureReport, e entry.AttemptResult) {
-	g.logger.Info("target seen",
-		slog.String("Service", m.Service),
-		slog.String("Target", m.Target),
-		slog.String("Outcome", m.Outcome.String()),
-		slog.Bool("Reused", e.Reused),
-		slog.Duration("Rested", e.Rested))
-	g.count("Target.Told." + m.Outcome.String())
-	g.sendToFleet(m)
+// attemptReport is what an attempt says about its target and its request.
+type attemptReport struct {
+	service string
+	target  string
+	outcome target.Outcome
+	// reused and rested are as in entry.AttemptResult.
+	reused bool
+	rested time.Duration
+	// permit is that of the request; nil if its strike isn't to be recorded.
+	permit *permit
+}
+
+// reportOutcome reports an attempt that counts for its target: the outcome if notify is
+// set, and the strike if its connection died under the request.
+func (g *Gateway) reportOutcome(r attemptReport, notify bool) {
+	m := failureReport{
+		Target:  r.target,
+		Outcome: r.outcome,
+	}
+	if r.permit != nil && r.permit.recordStrike(r.target, r.outcome) {
+		m.Suspect = r.permit.fingerprint
+	}
+	if notify {
+		m.Service = r.service
+		g.logger.Info("target seen",
+			slog.String("Service", r.service),
+			slog.String("Target", r.target),
+			slog.String("Outcome", r.outcome.String()),
+			slog.Bool("Reused", r.reused),
+			slog.Duration("Rested", r.rested))
+		g.count("Target.Told." + r.outcome.String())
+	}
+	if notify || m.Suspect != (quarantine.Fingerprint{}) {
+		g.sendToFleet(m)
+	}
 }
 
 // sendToFleet sends a report to all instances: directly to those of the own zone, and to
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -299,11 +299,11 @@
 				registry: metrics.NewRegistry(),
 			}
 			g.state = newLocalState(g)
-			g.reportFailure(failureReport{
-				Service: "desk",
-				Target:  "desk-a",
-				Outcome: tt.outcome,
-			}, entry.AttemptResult{})
+			g.reportOutcome(attemptReport{
+				service: "desk",
+				target:  "desk-a",
+				outcome: tt.outcome,
+			}, true)
 			is.True(g.registry.Get(tt.want) != nil) // counted under its name
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	// targetDialTimeout bounds connecting to a target. A live target accepts within a
 	// few milliseconds, and an unreachable one never does.
 	targetDialTimeout = 400 * time.Millisecond
+	// testTimeout is targetDialTimeout for the tests of links, for which requests wait.
+	testTimeout = 100 * time.Millisecond
 )
 
 // Gateway is one running instance.
@@ -202,8 +204,7 @@
 		entry.WithMetrics(g.registry),
 		entry.WithClient(forward.New(
 			forward.WithIdleTimeout(targetIdleTimeout),
-			forward.WithDialTimeout(targetDialTimeout),
-			forward.WithDialContext(g.dialTarget))))
+			forward.WithDialContext(g.connect))))
 	g.serve(entryListener, handler)
 	g.serve(readyListener, http.HandlerFunc(g.serveReady))
 	g.serve(peerListener, http.HandlerFunc(g.serveMirror))
@@ -272,6 +273,7 @@
 			g.sendLoanRequests()
 		}
 		g.sendReports(boot.Now())
+		g.stepLinks()
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/links.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/link"
+	"dandelionmux/pkg/target"
+)
+
+const (
+	// contactTerm is how long a connection to a service's targets proves that the
+	// instance reaches them.
+	contactTerm = time.Second
+	// maxTestimonies is the number of instances that are asked whether they reach a
+	// service.
+	maxTestimonies = 3
+)
+
+// targetName is the name of a target and of its service.
+type targetName struct {
+	service string
+	target  string
+}
+
+// updateLinks takes over the registered targets. The caller must hold mu.
+func (st *localState) updateLinks(services map[string][]target.Registration) {
+	names := make([]string, 0, len(services))
+	clear(st.targetAt)
+	for name, list := range services {
+		names = append(names, name)
+		for _, r := range list {
+			st.targetAt[r.Target.Address] = targetName{
+				service: name,
+				target:  r.Target.Name,
+			}
+		}
+	}
+	st.links.Update(names)
+}
+
+// testTargets returns the targets of a service to which test connections may be made. The
+// caller must hold mu.
+func (st *localState) testTargets(name string) []link.Target {
+	s := st.services[name]
+	if s == nil {
+		return nil
+	}
+	var list []link.Target
+	for _, a := range s.table.Availabilities(boot.Now()) {
+		list = append(list, link.Target{
+			Name:    a.Name,
+			Address: a.Address,
+			Zone:    a.Zone,
+			Usable:  a.Usable,
+		})
+	}
+	return list
+}
+
+// connect connects to a target, and records whether that succeeded.
+func (g *Gateway) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	began := boot.Now()
+	dialContext, cancel := context.WithTimeout(ctx, targetDialTimeout)
+	defer cancel()
+	c, err := g.dialTarget(dialContext, network, address)
+	if err == nil || ctx.Err() == nil { // else only the request has ended
+		var name targetName
+		g.state.withLock(func() { name = g.state.targetAt[address] })
+		g.recordConnect(name, began, err)
+	}
+	return c, err
+}
+
+// recordConnect records whether connecting to a target, which began at a time, succeeded.
+func (g *Gateway) recordConnect(name targetName, began time.Duration, err error) {
+	if name.service == "" {
+		return // The target has been removed meanwhile.
+	}
+	now := boot.Now()
+	g.state.withLock(func() {
+		if err == nil {
+			g.state.links.ConnectSucceeded(now, began, name.service)
+		} else {
+			g.state.links.ConnectFailed(now, began, name.service, name.target)
+		}
+	})
+	if err != nil {
+		g.stepLinksLater()
+	}
+	g.stepLinks()
+}
+
+// holdFailure has the monitor decide whether a failed attempt, which began at a time,
+// counts against its target.
+func (g *Gateway) holdFailure(began time.Duration, r attemptReport) {
+	g.state.withLock(func() {
+		g.state.links.Hold(link.Failure[attemptReport]{
+			Service: r.service,
+			Target:  r.target,
+			Began:   began,
+			At:      boot.Now(),
+			Report:  r,
+		})
+	})
+	g.stepLinksLater()
+}
+
+// stepLinksLater calls stepLinks when the first test after a failure may be due.
+func (g *Gateway) stepLinksLater() {
+	time.AfterFunc(link.TestDelay+time.Millisecond, g.stepLinks)
+}
+
+// stepLinks does what the monitor of the links decides.
+func (g *Gateway) stepLinks() {
+	var actions link.Actions[attemptReport]
+	st := g.state
+	notify := map[int]bool{}
+	st.withLock(func() {
+		now := boot.Now()
+		actions = st.links.Step(now, st.testTargets)
+		for i, f := range actions.Blamed {
+			if s := st.services[f.Service]; s != nil {
+				notify[i] = s.table.Observe(now, f.Target, f.Report.outcome)
+			}
+		}
+	})
+	for i, f := range actions.Blamed {
+		g.reportOutcome(f.Report, notify[i])
+	}
+	for _, f := range actions.Excused {
+		g.count("Link.Excused." + f.Report.outcome.String())
+		g.logger.Info("failure excused by lost links",
+			slog.String("Service", f.Service),
+			slog.String("Target", f.Target),
+			slog.String("Outcome", f.Report.outcome.String()))
+	}
+	for _, t := range actions.Tests {
+		go g.testTarget(t)
+	}
+	for _, name := range actions.Lost {
+		g.count("Link.Lost")
+		g.logger.Warn("service unreachable",
+			slog.String("Service", name))
+		g.askForTestimonies(name)
+	}
+	for _, name := range actions.Found {
+		g.logger.Info("service reachable again",
+			slog.String("Service", name))
+	}
+}
+
+// testTarget connects to a target, closes the connection, and reports whether the target
+// was reached.
+func (g *Gateway) testTarget(t link.Test) bool {
+	g.count("Link.Tested")
+	began := boot.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c, err := g.dialTarget(ctx, "tcp4", t.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	g.recordConnect(targetName{
+		service: t.Service,
+		target:  t.Name,
+	}, began, err)
+	g.state.withLock(func() { g.state.links.EndTest(t) })
+	g.stepLinks()
+	return err == nil
+}
+
+// askForTestimonies asks some other instances whether they reach a service that this one
+// doesn't reach.
+func (g *Gateway) askForTestimonies(service string) {
+	var witnesses []instance.Address
+	g.state.withLock(func() { witnesses = g.state.witnesses(service) })
+	for _, a := range witnesses {
+		go func() {
+			decision, _ := g.askKeeper(context.Background(), a, decisionRequest{
+				Kind: serviceContact,
+				Name: service,
+			})
+			if !decision.Granted {
+				return
+			}
+			g.state.withLock(func() { g.state.links.Testify(service) })
+			g.stepLinks()
+		}()
+	}
+}
+
+// witnesses returns up to maxTestimonies instances, one of each zone and the rest of any.
+// The caller must hold mu.
+func (st *localState) witnesses(service string) []instance.Address {
+	self := st.gateway.self.Address
+	excluded := func(a instance.Address) bool { return a == self || st.unresponsive(a) }
+	list := st.roster.RemoteKeepers(serviceContact.String(), service, excluded)
+	if a := st.roster.ZoneKeeper(serviceContact.String(), service, excluded); a != self {
+		list = append(list, a)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxTestimonies)]
+}
+
+// answerContact answers whether this instance reaches a service. It tests that if it has
+// had no contact with the service lately.
+func (g *Gateway) answerContact(from instance.Address, m decisionRequest) {
+	reached, known := false, false
+	var test link.Test
+	g.state.withLock(func() {
+		links := g.state.links
+		reached = links.ContactSince(m.Name, boot.Now()-contactTerm)
+		list := g.state.testTargets(m.Name)
+		known = reached || len(list) == 0 || links.State(m.Name) == link.Unreachable
+		if usable := slices.DeleteFunc(slices.Clone(list), func(t link.Target) bool { return !t.Usable }); len(usable) > 0 {
+			list = usable
+		}
+		if !known {
+			test = link.Test{
+				Service: m.Name,
+				Target:  list[rand.IntN(len(list))],
+			}
+		}
+	})
+	if !known {
+		reached = g.testTarget(test)
+	}
+	response := decisionResponse{
+		Number: m.Number,
+	}
+	response.Granted = reached
+	g.send(from, response)
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -19,7 +19,8 @@
 type message interface{ message() }
 
 // decisionRequest asks a keeper for units of an organisation's rate, for a retry from a
-// service's retry budget, or for a request to a target that names a limit.
+// service's retry budget, or for a request to a target that names a limit. It also asks any
+// instance whether it reaches a service.
 type decisionRequest struct {
 	// Number is chosen by the sender and returned in the response.
 	Number uint64
@@ -172,6 +173,7 @@
 	organisationRate limitKind = iota + 1
 	retryBudget
 	targetLimit
+	serviceContact
 )
 
 // String returns the kind's name, which is used in logs and for ranking keepers.
@@ -181,6 +183,8 @@
 		return "rate"
 	case targetLimit:
 		return "limit"
+	case serviceContact:
+		return "contact"
 	default:
 		return "budget"
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,7 @@
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/link"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/mirror"
 	"dandelionmux/pkg/outlier"
@@ -61,6 +62,10 @@
 	// targetLimits holds the limits that targets have named.
 	targetLimits *meter.TargetLimits
 	strikes      *quarantine.Tally
+	// links tells whether this instance's links to targets are lost, and targetAt holds
+	// the target at each address.
+	links    *link.Monitor[attemptReport]
+	targetAt map[string]targetName
 	// unresponsiveUntil holds the instances that did not answer a decision request,
 	// and staleUntil the readers that could not be copied or have outdated data, each
 	// with the time until which it is skipped. The two are separate because a reader
@@ -116,6 +121,8 @@
 		}),
 		targetLimits:      meter.NewTargetLimits(),
 		strikes:           quarantine.NewTally(),
+		links:             link.New[attemptReport](newRandom()),
+		targetAt:          map[string]targetName{},
 		unresponsiveUntil: map[instance.Address]time.Duration{},
 		staleUntil:        map[instance.Address]time.Duration{},
 		mirrorChanged:     make(chan struct{}),
@@ -336,6 +343,7 @@
 			st.services[name].table.Update(now, list)
 		}
 	}
+	st.updateLinks(services)
 }
 
 // serviceCounts holds the number of a service's targets by state.
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -344,11 +344,12 @@
 	return t.recordOutcome(now, s, outcome)
 }
 
-// Overdue records that a request at a target has exceeded its response timeout and
-// is still running. It reports whether this should be sent to the other instances.
-func (t *Table) Overdue(now time.Duration, name string) bool {
+// Observe records an outcome without the end of a request: a response that is overdue, or
+// a failure whose cause wasn't known when Done was called. It reports whether the outcome
+// should be sent to the other instances.
+func (t *Table) Observe(now time.Duration, name string, outcome target.Outcome) bool {
 	s := t.targets[name]
-	return s != nil && t.recordOutcome(now, s, target.TimedOut)
+	return s != nil && t.recordOutcome(now, s, outcome)
 }
 
 // ReceiveOutcome records an outcome that another instance has observed.
@@ -493,6 +494,27 @@
 	return c
 }
 
+// Availability tells whether a target is in use.
+type Availability struct {
+	document.Target
+	// Usable is unset while the target is ejected, on probation, pausing or held.
+	Usable bool
+}
+
+// Availabilities returns the targets that aren't leaving, in the order of their names.
+func (t *Table) Availabilities(now time.Duration) []Availability {
+	list := make([]Availability, 0, len(t.order))
+	for _, s := range t.order {
+		if !s.Leaving {
+			list = append(list, Availability{
+				Target: s.Target,
+				Usable: now >= max(s.ejectedUntil, s.probationUntil, s.pausedUntil, s.heldUntil),
+			})
+		}
+	}
+	return list
+}
+
 // InUse returns the number of requests in flight at a target, including those that
 // other instances have reported. It is used in logs.
 func (t *Table) InUse(now time.Duration, name string) int {
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -162,7 +162,7 @@
 	}{
 		{
 			name:    "overdue request",
-			observe: func(t *outlier.Table, name string) { t.Overdue(now, name) },
+			observe: func(t *outlier.Table, name string) { t.Observe(now, name, target.TimedOut) },
 		},
 		{
 			name: "two timeouts, reported by another instance",
@@ -201,8 +201,8 @@
 	for i := range 6 {
 		table.ReceiveOutcome(now-time.Second, fmt.Sprintf("desk-%02d", i), target.Crashed)
 	}
-	table.Overdue(now, "desk-00")
-	table.Overdue(now-3*time.Second, "desk-01")
+	table.Observe(now, "desk-00", target.TimedOut)
+	table.Observe(now-3*time.Second, "desk-01", target.TimedOut)
 	is.Equal(chosen(table, now, outlier.Request{})["desk-00"], 0)
 }
 
