Close a stand-in target's listener even if its server doesn't serve it yet

TestRefusedConnectionIsNotRun failed once under the race detector beside other packages: 502 instead of 503. Cause: TargetServer.Close closed only the http.Server. If its Serve had not begun, the listener stayed open for a moment, so the request was sent and its connection died. TestClosedTargetAcceptsNoConnection fails before.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -453,3 +454,19 @@
 	is.Equal(s.Watches(), 2)
 	is.Equal(s.Calls(), map[string]uint64{"/v3/watch": 2})
 }
+
+// Guards against a stopped target that accepts one more connection, because its server had
+// not begun to serve when it was closed.
+func TestClosedTargetAcceptsNoConnection(t *testing.T) {
+	for range 100 {
+		is := is.New(t)
+		s, err := standin.ServeTarget("desk-a", "127.0.0.1:0", time.Second)
+		is.NoErr(err)
+		s.Close()
+		c, err := net.Dial("tcp", s.Address())
+		if err == nil {
+			_ = c.Close()
+		}
+		is.True(err != nil)
+	}
+}
--- a/internal/standin/target_server.go
+++ b/internal/standin/target_server.go
@@ -23,9 +23,11 @@
 
 	mu      sync.Mutex
 	address string
-	server  *http.Server
-	closed  bool
-	restart *time.Timer
+	// listener is that of server, which may not serve it yet.
+	listener net.Listener
+	server   *http.Server
+	closed   bool
+	restart  *time.Timer
 }
 
 // ServeTarget starts a target at address, such as "127.0.0.1:0" for a free
@@ -57,7 +59,7 @@
 	if s.closed || s.server == nil {
 		return
 	}
-	_ = s.server.Close()
+	s.stop()
 	s.server = nil
 	s.restart = time.AfterFunc(s.downtime, s.restartAfterCrash)
 }
@@ -71,10 +73,16 @@
 		s.restart.Stop()
 	}
 	if s.server != nil {
-		_ = s.server.Close()
+		s.stop()
 	}
 }
 
+// stop breaks all connections and refuses new ones. The caller holds mu.
+func (s *TargetServer) stop() {
+	_ = s.listener.Close()
+	_ = s.server.Close()
+}
+
 // restartAfterCrash listens again at the same address. If another process uses
 // the port, it tries again after another downtime, at least one second.
 func (s *TargetServer) restartAfterCrash() {
@@ -100,6 +108,7 @@
 		return errors.Wrapf(ErrListen, "%s: %v", s.address, err)
 	}
 	s.address = listener.Addr().String()
+	s.listener = listener
 	s.server = &http.Server{
 		Handler:           s.Target,
 		ReadHeaderTimeout: readHeaderTimeout,
