Let each instance that has seen a crash store the request's quarantine

Three instances that report their strikes of one request at the same time each learn of the third strike from a report, which stored nothing: instances started later let the request pass until it came again. Now an instance that has reported a strike itself stores the quarantine, too. Found by TestQuarantineIsStoredAgainAfterStoreWasSetBack, which failed now and then when strikes wait for a test of the links; TestEachReporterOfAStrikeStoresTheQuarantine fails before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -125,7 +125,7 @@
 		slog.String("Target", targetName),
 		slog.String("Outcome", outcome.String()))
 	quarantined := false
-	g.state.withLock(func() { quarantined = g.state.addStrike(p.fingerprint, targetName, outcome) })
+	g.state.withLock(func() { quarantined = g.state.addStrike(p.fingerprint, targetName, outcome, true) })
 	if quarantined {
 		g.logger.Warn("request quarantined",
 			slog.String("Request", p.requestID),
@@ -137,23 +137,29 @@
 
 // addStrike records a strike that this instance has seen or was told of. It reports
 // whether the request is quarantined by it. The caller must hold mu.
-func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome) bool {
+func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome, own bool) bool {
 	return st.strikes.AddStrike(boot.Now(), f, quarantine.TallyStrike{
 		Target: targetName,
 		Kept:   outcome == target.Disconnected,
+		Own:    own,
 	})
 }
 
 // handleSuspect records the strike or the success of a request that another instance has
-// reported.
+// reported. If several instances report their strikes at the same time, none has seen the
+// last one itself, so each of them saves the request's quarantine.
 func (g *Gateway) handleSuspect(m failureReport) {
+	save := false
 	g.state.withLock(func() {
 		if m.Outcome == target.Succeeded {
 			g.state.strikes.Clear(m.Suspect)
 			return
 		}
-		g.state.addStrike(m.Suspect, m.Target, m.Outcome)
+		save = g.state.addStrike(m.Suspect, m.Target, m.Outcome, false) && g.state.strikes.HasOwn(m.Suspect)
 	})
+	if save {
+		g.saveQuarantine(m.Suspect)
+	}
 }
 
 // saveQuarantine has the store changed to what is known of a request's quarantine, if that
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -39,6 +39,8 @@
 	// Kept is set if the connection had served an earlier request, so that the target may
 	// only have dropped it.
 	Kept bool
+	// Own is set if this instance has seen the strike itself.
+	Own bool
 }
 
 // timedStrike is a strike and when it was last reported.
@@ -76,6 +78,7 @@
 	list = slices.DeleteFunc(list, func(old timedStrike) bool {
 		if old.Target == s.Target {
 			s.Kept = s.Kept && old.Kept
+			s.Own = s.Own || old.Own
 		}
 		return old.Target == s.Target || now-old.at > TallyTerm
 	})
@@ -166,6 +169,12 @@
 	return max(t.quarantined[f].until-now, 0)
 }
 
+// HasOwn reports whether this instance has seen a strike of the request itself.
+func (t *Tally) HasOwn(f Fingerprint) bool {
+	list, _ := t.suspects.Peek(f)
+	return slices.ContainsFunc(list, func(s timedStrike) bool { return s.Own })
+}
+
 // Suspect reports whether the request has any strikes.
 func (t *Tally) Suspect(now time.Duration, f Fingerprint) bool {
 	list, ok := t.suspects.Peek(f)
