--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -29,9 +29,11 @@
 
 // answer is a target's answer that is relayed to the caller.
 type answer struct {
-	attempt   *placedAttempt
+	exchange  *exchange
 	response  *http.Response
 	closeConn func()
+	// release ends the attempt.
+	release func(AttemptResult)
 	// prefix is the beginning of the body, or all of it if complete is set.
 	prefix   []byte
 	complete bool
@@ -45,9 +47,10 @@
 // returns the attempt's outcome.
 func (p *placedAttempt) checkAnswer(ctx context.Context, r forward.Answered) attemptOutcome {
 	a := &answer{
-		attempt:   p,
+		exchange:  p.exchange,
 		response:  r.Response,
 		closeConn: r.CloseConn,
+		release:   p.release,
 	}
 	if reason := a.rejectReason(p.id); reason != "" {
 		a.finish(target.Truncated)
@@ -65,17 +68,17 @@
 		}
 	}
 	if err := a.readPrefix(); err != nil {
-		return p.bodyFailure(ctx, a)
+		return a.bodyFailure(ctx)
 	}
 	return p.acceptOrRetry(a)
 }
 
 // bodyFailure returns the outcome of an attempt whose answer broke off while the
 // beginning of its body was read.
-func (p *placedAttempt) bodyFailure(ctx context.Context, a *answer) attemptOutcome {
+func (a *answer) bodyFailure(ctx context.Context) attemptOutcome {
 	a.cutShort = true
 	if ctx.Err() != nil {
-		failure := p.timeoutFailure()
+		failure := a.exchange.timeoutFailure()
 		a.finish(failure.outcome)
 		return failure
 	}
@@ -105,7 +108,7 @@
 // rejectReason returns the reason why the answer can't be relayed to the caller, or
 // an empty string if it can. The id is that of the attempt.
 func (a *answer) rejectReason(id string) string {
-	d := a.attempt.exchange.handler.dialect
+	d := a.exchange.handler.dialect
 	echoes := a.response.Header.Values(d.RequestIDHeader)
 	switch {
 	case len(echoes) > 1:
@@ -114,7 +117,7 @@
 		return "answer-crossed"
 	case d.SignatureHeader != "" && a.response.StatusCode < 300 && a.response.Header.Get(d.SignatureHeader) == "":
 		return "answer-unsigned"
-	case a.attempt.exchange.request.Method == http.MethodHead:
+	case a.exchange.request.Method == http.MethodHead:
 		return ""
 	case !d.AllowUnframed && a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0:
 		// If the body ends with the connection, a truncated one looks complete.
@@ -170,7 +173,7 @@
 // outcome returns how a complete answer counts for the target's health. A status
 // 504 at the deadline that the target was given says nothing about its health.
 func (a *answer) outcome() target.Outcome {
-	if a.response.StatusCode == http.StatusGatewayTimeout && time.Until(a.attempt.exchange.deadline) < timeoutSlack {
+	if a.response.StatusCode == http.StatusGatewayTimeout && time.Until(a.exchange.deadline) < timeoutSlack {
 		return target.Cancelled
 	}
 	if a.response.StatusCode >= http.StatusInternalServerError {
@@ -193,7 +196,7 @@
 		a.closeConn()
 	}
 	_ = a.response.Body.Close()
-	a.attempt.release(AttemptResult{
+	a.release(AttemptResult{
 		Outcome:        outcome,
 		LostConnection: a.cutShort,
 		Misdirected:    a.response.StatusCode == http.StatusMisdirectedRequest,
@@ -206,7 +209,7 @@
 // success without the header says that there is no limit. A crossed answer and one that
 // another target at the address gave say nothing.
 func (a *answer) limit(outcome target.Outcome) meter.TargetLimit {
-	header := a.attempt.exchange.handler.dialect.TargetLimitHeader
+	header := a.exchange.handler.dialect.TargetLimitHeader
 	misdirected := a.response.StatusCode == http.StatusMisdirectedRequest
 	if header == "" || outcome == target.Truncated || misdirected {
 		return meter.TargetLimit{}
@@ -232,7 +235,7 @@
 
 // draining reports whether the target announces that it is leaving.
 func (a *answer) draining() bool {
-	drain := a.attempt.exchange.handler.dialect.DrainHeader
+	drain := a.exchange.handler.dialect.DrainHeader
 	return drain != "" && a.response.Header.Get(drain) != ""
 }
 
@@ -262,7 +265,7 @@
 			return err
 		}
 	}
-	x.handler.metrics.answered(a.response.StatusCode, time.Since(x.began))
+	x.countAnswer(a.response.StatusCode)
 	x.logEnd(answeredMessage, "", a.response.StatusCode)
 	return nil
 }
@@ -290,6 +293,7 @@
 	if a.complete && x.request.Method != http.MethodHead && len(a.prefix) > 0 {
 		h.Set("Content-Length", strconv.Itoa(len(a.prefix)))
 	}
+	x.addRelayResult(false)
 	x.headSent = true
 	x.writer.WriteHeader(a.response.StatusCode)
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -55,6 +55,10 @@
 	// fallback is the target's own error answer; the caller gets it if there is
 	// no further attempt.
 	fallback *answer
+	// target is the name of the target, if the attempt was at one.
+	target string
+	// unsent is set if the attempt ended before it was sent anywhere.
+	unsent bool
 }
 
 func (usableAnswer) attemptOutcome()  {}
@@ -71,9 +75,7 @@
 			return result.answer, nil
 		case failedAttempt:
 			x.mayHaveRun = x.mayHaveRun || result.mayHaveRun
-			if result.outcome != target.Refused {
-				x.sentAttempts++
-			}
+			x.countAttempt(result)
 			if x.shouldRetry(ctx, n, result) {
 				result.fallback.discard()
 				continue
@@ -86,6 +88,21 @@
 	}
 }
 
+// countAttempt counts a failed attempt, unless it was sent nowhere or didn't reach its
+// target.
+func (x *exchange) countAttempt(failed failedAttempt) {
+	switch {
+	case failed.unsent:
+	case failed.outcome == target.Refused:
+		x.unreached = true
+	default:
+		x.sentAttempts++
+		if failed.target != "" {
+			x.sentTargets = append(x.sentTargets, failed.target)
+		}
+	}
+}
+
 // shouldRetry decides whether attempt n, which failed, is followed by another, and
 // charges the retry budget for it.
 func (x *exchange) shouldRetry(ctx context.Context, n int, failure failedAttempt) bool {
@@ -137,8 +154,24 @@
 	return &changed
 }
 
-// attempt sends the request to one target, once.
+// attempt sends the request once: to a target, or to another instance if this one has no
+// links to the targets.
 func (x *exchange) attempt(ctx context.Context, n int) attemptOutcome {
+	switch relay, err := x.acquireRelay(ctx); {
+	case err != nil:
+		return failedAttempt{
+			outcome: target.Cancelled,
+			refusal: asRefusal(err),
+			unsent:  true,
+		}
+	case relay != nil:
+		return x.attemptThrough(ctx, relay, n)
+	}
+	return x.attemptDirectly(ctx, n)
+}
+
+// attemptDirectly sends the request to one target, once.
+func (x *exchange) attemptDirectly(ctx context.Context, n int) attemptOutcome {
 	slot, err := x.handler.deps.Dispatcher.Acquire(ctx, SlotRequest{
 		Organisation: x.organisation,
 		Route:        x.route,
@@ -146,6 +179,8 @@
 		Cost:         x.route.CostUnits(),
 		Repeatable:   x.repeatable,
 		TriedTargets: x.triedTargets,
+		Counted:      x.counted,
+		Unreached:    x.unreached,
 		Deadline:     x.deadline,
 		Permit:       x.permit,
 	})
@@ -153,6 +188,7 @@
 		return failedAttempt{
 			outcome: target.Cancelled,
 			refusal: asRefusal(err),
+			unsent:  true,
 		}
 	}
 	if err := x.renewGrant(ctx); err != nil {
@@ -162,8 +198,10 @@
 		return failedAttempt{
 			outcome: target.Cancelled,
 			refusal: asRefusal(err),
+			unsent:  true,
 		}
 	}
+	x.counted = true
 	x.triedTargets = append(x.triedTargets, slot.Target().Name)
 	x.handler.metrics.attempts.Inc(1)
 	x.logAttempt(slot, n)
@@ -180,7 +218,12 @@
 		id:       x.attemptID(n),
 		cancel:   cancel,
 	}
-	return p.send(ctx)
+	outcome := p.send(ctx)
+	if failed, ok := outcome.(failedAttempt); ok {
+		failed.target = slot.Target().Name
+		return failed
+	}
+	return outcome
 }
 
 // renewGrant asks for a new grant if the present one has lapsed while the request
@@ -255,6 +298,7 @@
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "not-ready",
 			RetryAfter: time.Second,
+			Elsewhere:  true,
 		}
 	}
 	if !x.route.Open {
@@ -348,11 +392,16 @@
 	}
 	left := max(time.Until(x.deadline).Milliseconds(), 1)
 	out.Header.Set(d.TimeoutHeader, strconv.FormatInt(left, 10))
+	x.setBody(out)
+	return out
+}
+
+// setBody gives a request the body that the caller sent.
+func (x *exchange) setBody(out *http.Request) {
 	if len(x.body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(x.body))
 		out.ContentLength = int64(len(x.body))
 	}
-	return out
 }
 
 func cloneURL(r *http.Request) *url.URL {
@@ -368,11 +417,12 @@
 		return failedAttempt{
 			outcome: target.Cancelled,
 			refusal: refusal,
+			unsent:  true,
 		}
 	case err.Stage != forward.Sent:
 		return p.unsentFailure(err)
 	case ctx.Err() != nil:
-		return p.timeoutFailure()
+		return p.exchange.timeoutFailure()
 	case err.Malformed:
 		return failedAttempt{
 			outcome:    target.Truncated,
@@ -413,9 +463,9 @@
 
 // timeoutFailure returns the outcome of a sent attempt whose context ended: at its
 // deadline, or because the caller went away.
-func (p *placedAttempt) timeoutFailure() failedAttempt {
+func (x *exchange) timeoutFailure() failedAttempt {
 	outcome := target.TimedOut
-	if p.exchange.request.Context().Err() != nil {
+	if x.request.Context().Err() != nil {
 		outcome = target.Cancelled
 	}
 	refusal := mayHaveRunRefusal("timeout")
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -6,6 +6,7 @@
 
 	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
@@ -136,6 +137,10 @@
 	// TriedTargets are the names of the targets of earlier attempts, which are
 	// to be avoided.
 	TriedTargets []string
+	// Counted is set if the request has been counted for the retry budget.
+	Counted bool
+	// Unreached is set if an earlier attempt didn't reach its target.
+	Unreached bool
 	// Deadline is when the request must have ended.
 	Deadline time.Time
 	// Permit is the permit that the request runs with.
@@ -195,6 +200,52 @@
 	Acquire(ctx context.Context, identity RequestIdentity) (Permit, error)
 }
 
+// Relays chooses other instances, through which requests go while this one has no links to
+// their targets.
+type Relays interface {
+	// Acquire returns the instance to which the next attempt is sent; nil if the attempt
+	// goes to a target; or a *Refusal as error if no instance seems to reach the
+	// targets.
+	Acquire(ctx context.Context, request RelayRequest) (Relay, error)
+}
+
+// RelayRequest describes a request that may need another instance.
+type RelayRequest struct {
+	Service string
+	Route   *document.Route
+	// Relayed is set if another instance sent the request here. It is not sent on.
+	Relayed bool
+}
+
+// Relay is a place for one attempt through another instance.
+type Relay interface {
+	// Instance returns the address of the other instance.
+	Instance() instance.Address
+	// OverdueAfter returns how long a repeatable request waits for the answer before it is
+	// sent through another instance. If it is zero, the request waits to its deadline.
+	OverdueAfter() time.Duration
+	// Release ends the attempt. It is called once.
+	Release(RelayOutcome)
+}
+
+// RelayOutcome is the result of an attempt through another instance.
+type RelayOutcome int
+
+// Values of RelayOutcome.
+const (
+	// RelayAnswered is an answer of a target, or a refusal that another instance would
+	// have given, too.
+	RelayAnswered RelayOutcome = iota
+	// RelayDeclined is a refusal to help now.
+	RelayDeclined
+	// RelayCutOff is the answer that the other instance has no links to the targets either.
+	RelayCutOff
+	// RelayFailed is a connection that wasn't established, or that died.
+	RelayFailed
+	// RelayAbandoned is an attempt that the caller or the deadline ended.
+	RelayAbandoned
+)
+
 // Dependencies are the parts of the instance that a Handler uses.
 type Dependencies struct {
 	Snapshots  SnapshotSource
@@ -202,4 +253,6 @@
 	Claims     Claims
 	Dispatcher Dispatcher
 	Quarantine Quarantine
+	// Relays may be nil: then all requests go to targets directly.
+	Relays Relays
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -38,15 +38,23 @@
 	claim  Claim
 	permit Permit
 
-	// sentAttempts counts the failed attempts whose outcome isn't target.Refused.
-	// This includes target.Cancelled even if no byte was sent; such an attempt isn't
-	// retried.
+	// sentAttempts counts the failed attempts that were sent. Those that didn't reach
+	// their target don't count; unreached is set if there were any.
 	sentAttempts int
+	unreached    bool
 	// retryGranted is set when a retry was granted while the attempt that it
 	// replaces was still in progress.
 	retryGranted atomic.Bool
-	// triedTargets are the names of the targets of all attempts so far.
+	// triedTargets are the names of the targets of all attempts so far, and sentTargets
+	// those of the attempts that sentAttempts counts.
 	triedTargets []string
+	sentTargets  []string
+	// counted is set once the request counts for the retry budget.
+	counted bool
+	// relayed is set if another instance sent the request here.
+	relayed *relayedRequest
+	// relays counts the other instances to which the request was sent.
+	relays int
 	// grantSpent is set once the grant has been spent.
 	grantSpent bool
 	// mayHaveRun is set unless it is certain that no target ran the request.
@@ -106,6 +114,15 @@
 			Status:     http.StatusServiceUnavailable,
 			Reason:     "not-ready",
 			RetryAfter: time.Second,
+			Elsewhere:  true,
+		}
+	}
+	if x.relayed != nil && s.Index.Revision() < x.relayed.revision {
+		return &Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "older-configuration",
+			RetryAfter: time.Second,
+			Elsewhere:  true,
 		}
 	}
 	r := x.request
@@ -176,7 +193,7 @@
 // needsClaim reports whether the request must be claimed before it runs: it has an
 // Idempotency-Key and may not be repeated otherwise.
 func (x *exchange) needsClaim() bool {
-	return !x.repeatable && x.request.Header.Get("Idempotency-Key") != ""
+	return !x.repeatable && x.relayed == nil && x.request.Header.Get("Idempotency-Key") != ""
 }
 
 // readBody reads the whole body into memory, so that a slow caller occupies no
@@ -230,7 +247,7 @@
 
 // admit takes the request's cost from its organisation's rate.
 func (x *exchange) admit(ctx context.Context) error {
-	if x.route.Open {
+	if x.route.Open || x.relayed != nil {
 		return nil
 	}
 	grant, err := x.handler.deps.Admission.Admit(ctx, x.organisation, x.route.CostUnits())
@@ -311,11 +328,12 @@
 // sent in part, refuse aborts the caller's connection instead, so that the answer
 // can't be taken for a complete one.
 func (x *exchange) refuse(r *Refusal) {
-	x.handler.metrics.refused(r)
+	x.countRefusal(r)
 	x.logEnd("refused", r.Reason, r.statusFor(x.handler.dialect))
 	if x.headSent {
 		panic(http.ErrAbortHandler)
 	}
+	x.addRelayResult(r.Elsewhere && !r.MayHaveRun)
 	r.write(x.writer, x.handler.dialect)
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -44,13 +44,20 @@
 	registry     metrics.Registry
 	metrics      *requestMetrics
 
-	running       atomic.Int64
+	running atomic.Int64
+	// relayed is the number of requests of other instances among running.
+	relayed       atomic.Int64
 	bufferedBytes atomic.Int64
 	// idPrefix is random and distinguishes the request ids of this process from
 	// those of others; sequence numbers them.
 	idPrefix string
 	sequence atomic.Uint64
 
+	// relayClient sends requests to other instances. relayRevision is the highest
+	// revision of the document by which one of them has answered.
+	relayClient   *forward.Client
+	relayRevision atomic.Uint64
+
 	keepAliveMu sync.Mutex
 	keepAlive   keepalive.Policy
 }
@@ -100,6 +107,7 @@
 		o(h)
 	}
 	h.metrics = newRequestMetrics(h.registry)
+	h.relayClient = forward.New(forward.WithDialTimeout(relayDialTimeout))
 	if h.client == nil {
 		h.client = forward.New()
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -29,7 +29,7 @@
 // request, so that it may be dropped when there are too many records.
 func IsRoutine(r slog.Record) bool {
 	switch r.Message {
-	case placedMessage:
+	case placedMessage, relayedMessage, receivedMessage:
 		return true
 	case answeredMessage:
 		routine := true
@@ -47,6 +47,8 @@
 // Messages of routine log records.
 const (
 	placedMessage   = "placed"
+	relayedMessage  = "relayed"
+	receivedMessage = "relayed request received"
 	answeredMessage = "answered"
 )
 
@@ -102,5 +104,34 @@
 		slog.String("Reason", reason),
 		slog.Int("Status", status),
 		slog.Int("Attempts", len(x.triedTargets)),
+		slog.Int("Relays", x.relays),
+		slog.Bool("Relayed", x.relayed != nil),
 		slog.Duration("Took", time.Since(x.began)))
 }
+
+// logRelay logs that attempt n goes through another instance.
+func (x *exchange) logRelay(relay Relay, n int) {
+	if !x.handler.logDecisions {
+		return
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, relayedMessage,
+		slog.String("Request", x.id),
+		slog.String("Organisation", x.organisation),
+		slog.String("Route", x.route.Name),
+		slog.String("Service", x.service),
+		slog.String("Peer", string(relay.Instance())),
+		slog.Int("Attempt", n),
+		slog.Uint64("Revision", x.snapshot.Index.Revision()),
+		slog.Duration("Left", time.Until(x.deadline)))
+}
+
+// logRelayed logs that another instance has sent the request here.
+func (x *exchange) logRelayed() {
+	if !x.handler.logDecisions {
+		return
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, receivedMessage,
+		slog.String("Request", x.id),
+		slog.String("Peer", x.request.RemoteAddr),
+		slog.Int("Sent", x.sentAttempts))
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -61,6 +61,8 @@
 	// Idempotency-Key: "running", "ended" (optionally with the HTTP status, as in
 	// "ended 200") or "unknown"; empty if the refusal has another cause.
 	FirstRequest string
+	// Elsewhere is set if another instance may serve the request.
+	Elsewhere bool
 }
 
 // Error implements error.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -84,10 +84,14 @@
 	if s == nil {
 		return nil, meter.TargetLimit{}
 	}
-	chosen, ok := s.table.Choose(now, outlier.Request{
+	wanted := outlier.Request{
 		Repeatable: request.Repeatable,
 		Avoid:      request.TriedTargets,
-	})
+	}
+	if request.Unreached || st.links.IsImpaired(request.Service) {
+		wanted.Prefer = st.links.Contacted(now, request.Service)
+	}
+	chosen, ok := s.table.Choose(now, wanted)
 	if !ok {
 		return nil, meter.TargetLimit{}
 	}
@@ -96,7 +100,7 @@
 		service:         request.Service,
 		route:           request.Route.Name,
 		target:          chosen,
-		first:           len(request.TriedTargets) == 0,
+		first:           !request.Counted,
 		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
@@ -188,7 +192,7 @@
 	began           time.Duration
 	// targetCounts is the state of the service's targets when this one was chosen.
 	targetCounts outlier.Counts
-	// first is set if this is the request's first attempt.
+	// first is set if the request hasn't been counted for the retry budget yet.
 	first bool
 	// permit is that of the request, or nil.
 	permit *permit
@@ -351,7 +355,7 @@
 	// hashed, so it must be the same on all instances.
 	var forwarders []instance.Address
 	g.state.withLock(func() {
-		forwarders = g.state.roster.RemoteKeepers("news", m.targetName(), g.state.unresponsive)
+		forwarders = g.state.roster.RemoteKeepers("news", m.subject(), g.state.unresponsive)
 	})
 	for _, a := range forwarders {
 		g.send(a, m.forwarded(true))
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -19,6 +19,7 @@
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/link"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/mirror"
 	"dandelionmux/pkg/outlier"
@@ -183,6 +184,27 @@
 			},
 			want: "080822066465736b2d31300128940a5801",
 		},
+		{
+			name: "links",
+			m: linkReport{
+				Instance: "10.0.0.1:7000",
+				Report: link.Report{
+					All:      true,
+					Services: []string{"desk", "mill"},
+				},
+				Forward: true,
+			},
+			want: "0809420d31302e302e302e313a3730303030015801620622046465736b620622046d696c6c",
+		},
+		{
+			name: "question about a target",
+			m: decisionRequest{
+				Number: 9,
+				Kind:   targetContact,
+				Name:   "desk-1",
+			},
+			want: "08011009180422066465736b2d3128005800",
+		},
 		{
 			name: "ask for a limited target",
 			m: decisionRequest{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,14 +26,16 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// relayHeaderBytes is the room for what instances add to the header of a caller.
+	relayHeaderBytes = 4 << 10
 	// idleTimeout is longer than callers keep idle connections.
 	idleTimeout = time.Minute
 	// targetIdleTimeout is how long an idle connection to a target is kept. Targets
 	// close theirs after 10 s.
 	targetIdleTimeout = 8 * time.Second
 	// targetDialTimeout bounds connecting to a target. A live target accepts within a
-	// few milliseconds, and an unreachable one never does.
-	targetDialTimeout = 400 * time.Millisecond
+	// few milliseconds, and a lost packet is sent again only after a second.
+	targetDialTimeout = 150 * time.Millisecond
 	// testTimeout is targetDialTimeout for the tests of links, for which requests wait.
 	testTimeout = 100 * time.Millisecond
 )
@@ -48,11 +50,11 @@
 	// dialTarget establishes connections to targets.
 	dialTarget forward.DialContext
 
-	datagrams   *net.UDPConn
-	listeners   []net.Listener
-	servers     []*http.Server
-	entryServer *http.Server
-	peerClient  *http.Client
+	datagrams  *net.UDPConn
+	listeners  []net.Listener
+	servers    []*http.Server
+	entry      *entry.Handler
+	peerClient *http.Client
 
 	state    *localState
 	backoff  backoff
@@ -192,12 +194,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.tasks = &errgroup.Group{}
-	handler := entry.New(entry.Dependencies{
+	g.entry = entry.New(entry.Dependencies{
 		Snapshots:  g,
 		Admission:  admission{g},
 		Claims:     claims{},
 		Dispatcher: dispatcher{g},
 		Quarantine: quarantineCheck{g},
+		Relays:     relays{g},
 	},
 		entry.WithDialect(g.adapters.Dialect),
 		entry.WithLogger(g.logger),
@@ -205,11 +208,10 @@
 		entry.WithClient(forward.New(
 			forward.WithIdleTimeout(targetIdleTimeout),
 			forward.WithDialContext(g.connect))))
-	g.serve(entryListener, handler)
+	g.serve(entryListener, g.entry)
 	g.serve(readyListener, http.HandlerFunc(g.serveReady))
-	g.serve(peerListener, http.HandlerFunc(g.serveMirror))
+	g.serve(peerListener, http.HandlerFunc(g.servePeer))
 	g.serve(metricsListener, http.HandlerFunc(g.serveMetrics))
-	g.entryServer = g.servers[0]
 	g.goTask(g.receive)
 	g.goTask(func() { g.maintainMirror(ctx) })
 	membership, deregister := context.WithCancel(ctx)
@@ -241,6 +243,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
 	}
+	if listener == peerListener {
+		server.MaxHeaderBytes += relayHeaderBytes
+	}
 	g.servers = append(g.servers, server)
 	g.goTask(func() {
 		if err := server.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
@@ -274,6 +279,7 @@
 		}
 		g.sendReports(boot.Now())
 		g.stepLinks()
+		g.reportLinks(boot.Now())
 	}
 }
 
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -142,7 +142,7 @@
 // list of members may be older than this instance's, this instance may have been started
 // again since, or only the sender may be unable to reach the keeper.
 func (g *Gateway) handleDecisionRequest(from instance.Address, m decisionRequest) {
-	if m.Kind == serviceContact {
+	if m.Kind == targetContact {
 		go g.answerContact(from, m)
 		return
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -5,7 +5,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -15,12 +16,8 @@
 )
 
 const (
-	// contactTerm is how long a connection to a service's targets proves that the
-	// instance reaches them.
-	contactTerm = time.Second
-	// maxTestimonies is the number of instances that are asked whether they reach a
-	// service.
-	maxTestimonies = 3
+	// maxWitnesses is the number of instances that are asked whether they reach a target.
+	maxWitnesses = 3
 )
 
 // targetName is the name of a target and of its service.
@@ -86,10 +83,11 @@
 	now := boot.Now()
 	g.state.withLock(func() {
 		if err == nil {
-			g.state.links.ConnectSucceeded(now, began, name.service)
+			g.state.links.ConnectSucceeded(now, began, name.service, name.target)
 		} else {
 			g.state.links.ConnectFailed(now, began, name.service, name.target)
 		}
+		g.state.wakeWaiters()
 	})
 	if err != nil {
 		g.stepLinksLater()
@@ -102,11 +100,12 @@
 func (g *Gateway) holdFailure(began time.Duration, r attemptReport) {
 	g.state.withLock(func() {
 		g.state.links.Hold(link.Failure[attemptReport]{
-			Service: r.service,
-			Target:  r.target,
-			Began:   began,
-			At:      boot.Now(),
-			Report:  r,
+			Service:     r.service,
+			Target:      r.target,
+			Began:       began,
+			At:          boot.Now(),
+			Unconnected: r.outcome == target.Refused,
+			Report:      r,
 		})
 	})
 	g.stepLinksLater()
@@ -130,6 +129,9 @@
 				notify[i] = s.table.Observe(now, f.Target, f.Report.outcome)
 			}
 		}
+		if len(actions.Impaired)+len(actions.Lost) > 0 {
+			st.wakeWaiters()
+		}
 	})
 	for i, f := range actions.Blamed {
 		g.reportOutcome(f.Report, notify[i])
@@ -144,16 +146,26 @@
 	for _, t := range actions.Tests {
 		go g.testTarget(t)
 	}
+	for _, q := range actions.Questions {
+		g.askForTestimonies(q)
+	}
+	for _, name := range actions.Impaired {
+		g.count("Link.Impaired")
+		g.logger.Warn("service impaired",
+			slog.String("Service", name))
+	}
 	for _, name := range actions.Lost {
 		g.count("Link.Lost")
-		g.logger.Warn("service unreachable",
+		g.logger.Warn("links to service lost",
 			slog.String("Service", name))
-		g.askForTestimonies(name)
 	}
-	for _, name := range actions.Found {
-		g.logger.Info("service reachable again",
+	for _, name := range actions.Restored {
+		g.logger.Info("service restored",
 			slog.String("Service", name))
 	}
+	if len(actions.Impaired)+len(actions.Restored) > 0 {
+		g.reportLinks(boot.Now())
+	}
 }
 
 // testTarget connects to a target, closes the connection, and reports whether the target
@@ -176,65 +188,77 @@
 	return err == nil
 }
 
-// askForTestimonies asks some other instances whether they reach a service that this one
-// doesn't reach.
-func (g *Gateway) askForTestimonies(service string) {
+// askForTestimonies asks some other instances whether they reach a target that this one
+// doesn't.
+func (g *Gateway) askForTestimonies(q link.Question) {
+	request := decisionRequest{
+		Kind: targetContact,
+		Name: q.Target,
+	}
 	var witnesses []instance.Address
-	g.state.withLock(func() { witnesses = g.state.witnesses(service) })
+	g.state.withLock(func() { witnesses = g.state.witnesses(q.Target) })
+	var reached atomic.Bool
+	group := sync.WaitGroup{}
 	for _, a := range witnesses {
-		go func() {
-			decision, _ := g.askKeeper(context.Background(), a, decisionRequest{
-				Kind: serviceContact,
-				Name: service,
-			})
-			if !decision.Granted {
-				return
+		group.Go(func() {
+			decision, _ := g.askKeeper(context.Background(), a, request)
+			if decision.Granted && !reached.Swap(true) {
+				g.recordTestimony(q, true)
 			}
-			g.state.withLock(func() { g.state.links.Testify(service) })
-			g.stepLinks()
-		}()
+		})
 	}
+	go func() {
+		group.Wait()
+		if !reached.Load() {
+			g.recordTestimony(q, false)
+		}
+	}()
+}
+
+// recordTestimony records what other instances have answered to a question.
+func (g *Gateway) recordTestimony(q link.Question, reached bool) {
+	g.state.withLock(func() { g.state.links.Testify(q, reached) })
+	g.stepLinks()
 }
 
-// witnesses returns up to maxTestimonies instances, one of each zone and the rest of any.
-// The caller must hold mu.
-func (st *localState) witnesses(service string) []instance.Address {
+// witnesses returns up to maxWitnesses instances that are asked about a target, of
+// different zones. The caller must hold mu.
+func (st *localState) witnesses(name string) []instance.Address {
 	self := st.gateway.self.Address
 	excluded := func(a instance.Address) bool { return a == self || st.unresponsive(a) }
-	list := st.roster.RemoteKeepers(serviceContact.String(), service, excluded)
-	if a := st.roster.ZoneKeeper(serviceContact.String(), service, excluded); a != self {
+	list := st.roster.RemoteKeepers(targetContact.String(), name, excluded)
+	if a := st.roster.ZoneKeeper(targetContact.String(), name, excluded); a != self {
 		list = append(list, a)
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), maxTestimonies)]
+	return list[:min(len(list), maxWitnesses)]
 }
 
-// answerContact answers whether this instance reaches a service. It tests that if it has
-// had no contact with the service lately.
+// answerContact answers whether this instance can connect to a target.
 func (g *Gateway) answerContact(from instance.Address, m decisionRequest) {
-	reached, known := false, false
 	var test link.Test
-	g.state.withLock(func() {
-		links := g.state.links
-		reached = links.ContactSince(m.Name, boot.Now()-contactTerm)
-		list := g.state.testTargets(m.Name)
-		known = reached || len(list) == 0 || links.State(m.Name) == link.Unreachable
-		if usable := slices.DeleteFunc(slices.Clone(list), func(t link.Target) bool { return !t.Usable }); len(usable) > 0 {
-			list = usable
-		}
-		if !known {
-			test = link.Test{
-				Service: m.Name,
-				Target:  list[rand.IntN(len(list))],
-			}
-		}
-	})
-	if !known {
-		reached = g.testTarget(test)
-	}
+	known := false
+	g.state.withLock(func() { test, known = g.state.testOf(m.Name) })
 	response := decisionResponse{
 		Number: m.Number,
 	}
-	response.Granted = reached
+	response.Granted = known && g.testTarget(test)
 	g.send(from, response)
 }
+
+// testOf returns a test of a target, and false if there is no such target. The caller must
+// hold mu.
+func (st *localState) testOf(name string) (link.Test, bool) {
+	for address, n := range st.targetAt {
+		if n.target == name {
+			return link.Test{
+				Service: n.service,
+				Target: link.Target{
+					Name:    name,
+					Address: address,
+				},
+			}, true
+		}
+	}
+	return link.Test{}, false
+}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -15,12 +15,13 @@
 )
 
 // message is a datagram between instances: a decisionRequest, decisionResponse,
-// failureReport, loanRequests, loanOffers, loadReport, retryReport or limitReport.
+// failureReport, loanRequests, loanOffers, loadReport, retryReport, limitReport or
+// linkReport.
 type message interface{ message() }
 
 // decisionRequest asks a keeper for units of an organisation's rate, for a retry from a
 // service's retry budget, or for a request to a target that names a limit. It also asks any
-// instance whether it reaches a service.
+// instance whether it reaches a target.
 type decisionRequest struct {
 	// Number is chosen by the sender and returned in the response.
 	Number uint64
@@ -77,8 +78,9 @@
 	message
 	// forwarded returns the report with the field Forward set to the value.
 	forwarded(forward bool) message
-	// targetName returns the target that the report is about.
-	targetName() string
+	// subject returns what the report is about. It selects the instances that forward
+	// it.
+	subject() string
 }
 
 func (m failureReport) forwarded(forward bool) message {
@@ -91,8 +93,8 @@
 	return m
 }
 
-func (m failureReport) targetName() string { return m.Target }
-func (m limitReport) targetName() string   { return m.Target }
+func (m failureReport) subject() string { return m.Target }
+func (m limitReport) subject() string   { return m.Target }
 
 // loanRequests lists the parts of organisations' rates that a keeper wants to borrow
 // from other zones.
@@ -173,7 +175,7 @@
 	organisationRate limitKind = iota + 1
 	retryBudget
 	targetLimit
-	serviceContact
+	targetContact
 )
 
 // String returns the kind's name, which is used in logs and for ranking keepers.
@@ -183,7 +185,7 @@
 		return "rate"
 	case targetLimit:
 		return "limit"
-	case serviceContact:
+	case targetContact:
 		return "contact"
 	default:
 		return "budget"
@@ -200,11 +202,13 @@
 	loadReportType
 	retryReportType
 	limitReportType
+	linkReportType
 )
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
 // instance address or a zone, fieldAmount a fraction in parts per million, a number of
-// retries or a limit per 1000 s, fieldGranted whether a target names a limit, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
+// retries or a limit per 1000 s, fieldGranted whether a target names a limit or an instance
+// reaches no service, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
 // fieldForward, in an item of loanRequests, the flag FleetKeeper. fieldRetryAfter and
 // fieldOver are in milliseconds.
 const (
@@ -308,6 +312,8 @@
 		b = appendNumber(b, fieldGranted, protowire.EncodeBool(m.Limit.Kind == meter.Limited))
 		b = appendNumber(b, fieldAmount, uint64(wireLimit(m.Limit)))
 		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
+	case linkReport:
+		return encodeLinkReport(m)
 	}
 	return nil
 }
@@ -439,6 +445,8 @@
 		return f.retryReport(), nil
 	case limitReportType:
 		return f.limitReport(), nil
+	case linkReportType:
+		return f.linkReport(), nil
 	}
 	return nil, errors.Wrapf(errMalformed, "unknown type %d", f.numbers[fieldType])
 }
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -85,6 +85,8 @@
 		g.handleLoadReport(from, m)
 	case limitReport:
 		g.handleLimitReport(from, m)
+	case linkReport:
+		g.handleLinkReport(from, m)
 	case retryReport:
 		g.handleRetryReport(from, m)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,9 @@
 	// exitReserve is the part of Settings.StopTimeout that is left for the exit of the
 	// process.
 	exitReserve = 300 * time.Millisecond
+	// relayedPollPeriod is the time between two looks at the requests of other instances
+	// during a stop.
+	relayedPollPeriod = 10 * time.Millisecond
 )
 
 // serveReady tells the balancer whether the instance takes new connections.
@@ -75,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-exitReserve)
 	defer cancel()
 	sleep(ctx, balancerLag)
-	err := g.entryServer.Shutdown(ctx)
+	err := g.shutdown(ctx)
 	g.logger.Info("stopped",
 		slog.Bool("Cut", err != nil))
 	g.Close()
@@ -85,6 +88,21 @@
 	return nil
 }
 
+// shutdown waits for the requests of callers and for those that other instances sent. The
+// latter send no more, since the instance declines them.
+func (g *Gateway) shutdown(ctx context.Context) error {
+	if err := g.servers[entryListener].Shutdown(ctx); err != nil {
+		return err
+	}
+	for g.entry.RelayedRequests() > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, relayedPollPeriod)
+	}
+	return nil
+}
+
 // Close ends the instance without waiting for requests: it cuts off those in progress,
 // revokes the registration if the store answers within catchUpTimeout, and waits for the
 // instance's goroutines.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -66,6 +66,18 @@
 	// the target at each address.
 	links    *link.Monitor[attemptReport]
 	targetAt map[string]targetName
+	// linksChanged is closed and replaced when links has learned something, if
+	// linkWaiter says that a request waits for that.
+	linksChanged chan struct{}
+	linkWaiter   bool
+	// helpers chooses the instances through which requests go while links are lost.
+	helpers *link.Helpers
+	// formerUntil holds, by IP, until when an instance that isn't a member any more may
+	// send requests here.
+	formerUntil map[string]time.Duration
+	// linkReport is what this instance last reported of its links, at linkReportAt.
+	linkReport   link.Report
+	linkReportAt time.Duration
 	// unresponsiveUntil holds the instances that did not answer a decision request,
 	// and staleUntil the readers that could not be copied or have outdated data, each
 	// with the time until which it is skipped. The two are separate because a reader
@@ -123,6 +135,9 @@
 		strikes:           quarantine.NewTally(),
 		links:             link.New[attemptReport](newRandom()),
 		targetAt:          map[string]targetName{},
+		linksChanged:      make(chan struct{}),
+		helpers:           link.NewHelpers(),
+		formerUntil:       map[string]time.Duration{},
 		unresponsiveUntil: map[instance.Address]time.Duration{},
 		staleUntil:        map[instance.Address]time.Duration{},
 		mirrorChanged:     make(chan struct{}),
@@ -292,7 +307,7 @@
 			st.members[address] = m
 			return
 		}
-		delete(st.members, address)
+		st.dropMember(now, address)
 		return
 	}
 	var v memberValue
@@ -317,6 +332,12 @@
 		slog.String("Member", string(address)))
 }
 
+// dropMember removes a member. The caller must hold mu.
+func (st *localState) dropMember(now time.Duration, address instance.Address) {
+	delete(st.members, address)
+	st.formerUntil[hostOf(string(address))] = now + formerMemberTerm
+}
+
 // rebuildRoster derives the roster from the members.
 func (st *localState) rebuildRoster() {
 	list := make([]instance.Info, 0, len(st.members))
@@ -379,7 +400,7 @@
 	changed := false
 	for address, m := range st.members {
 		if m.expiresAt != 0 && now >= m.expiresAt {
-			delete(st.members, address)
+			st.dropMember(now, address)
 			changed = true
 		}
 	}
@@ -393,6 +414,8 @@
 			st.budgets.Forget(string(a))
 		}
 	}
+	st.helpers.Expire(now)
+	maps.DeleteFunc(st.formerUntil, func(_ string, until time.Duration) bool { return now >= until })
 	for _, excluded := range []map[instance.Address]time.Duration{st.unresponsiveUntil, st.staleUntil} {
 		maps.DeleteFunc(excluded, func(_ instance.Address, until time.Duration) bool { return now >= until })
 	}
--- a/pkg/link/monitor.go
+++ b/pkg/link/monitor.go
@@ -8,24 +8,43 @@
 )
 
 const (
-	// TestDelay is how long a first failure waits for a request to connect to the service
-	// before a test does. A retry gets its grant and its connection within this time.
+	// TestDelay is how long after a failed connection requests may connect to other
+	// targets of the service before tests do.
 	TestDelay = 10 * time.Millisecond
 	// minSuspects is the number of targets without a connection from which on a service is
-	// Suspect, and minLost that from which on it is unreachable, unless it has fewer
-	// targets.
+	// Suspect.
 	minSuspects = 2
-	minLost     = 4
-	// retestPeriod is the time between two tests of an unreachable service. A test may
-	// meet a target that is down, so two have to fit into a second.
+	// minControls is the number of targets, chosen among those that haven't failed, that
+	// decide whether a service is impaired, unless there are fewer. A request that crashes
+	// several targets must not be taken for lost links.
+	minControls = 3
+	// resultTerm is how long the results of connecting are remembered after the last
+	// failure, unless the service is impaired.
+	resultTerm = 2 * time.Second
+	// fullStepPeriod is the time between two looks at all doubtful services.
+	fullStepPeriod = 50 * time.Millisecond
+	// clearedTerm is how long controls show that a service is reachable.
+	clearedTerm = 500 * time.Millisecond
+	// retestPeriod is the time between two tests of an impaired service. A test may
+	// meet a target that is down, so several have to fit into a second.
 	retestPeriod = 250 * time.Millisecond
+	// seekPeriod is the time between two tests that seek any contact at all, so that a
+	// failure can be settled.
+	seekPeriod = 30 * time.Millisecond
 	// maxLostTests is the number of tests in a retestPeriod if no service is reachable.
 	maxLostTests = 2
 	// controlTests is the number of other services that are tested when one becomes
 	// unreachable.
 	controlTests = 2
-	// testimonyTime is how long other instances have to testify that they reach a service.
+	// testimonyTime is how long other instances have to testify that they reach a target,
+	// and maxQuestions the number of targets of an impaired service that they are asked
+	// about.
 	testimonyTime = 300 * time.Millisecond
+	maxQuestions  = 3
+	// contactTerm is how long a target counts as contacted, and maxContacts the number of
+	// targets of a service from which on older contacts are forgotten.
+	contactTerm = time.Second
+	maxContacts = 256
 	// maxHeld bounds the failures that are held for one service. Further ones are excused.
 	maxHeld = 1024
 )
@@ -39,6 +58,9 @@
 	Reachable State = iota
 	// Suspect means that tests are running. The state changes within their timeout.
 	Suspect
+	// PartlyReachable means that most targets can't be connected to, although other
+	// instances reach them.
+	PartlyReachable
 	// Unreachable means that requests sent to the targets directly would fail.
 	Unreachable
 )
@@ -50,6 +72,8 @@
 	// Began and At are when the attempt began and failed.
 	Began time.Duration
 	At    time.Duration
+	// Unconnected is set if the attempt failed because connecting did.
+	Unconnected bool
 	// Report is what the caller needs to report the failure.
 	Report R
 }
@@ -69,13 +93,22 @@
 	Target
 }
 
+// Question asks other instances whether they reach a target.
+type Question struct {
+	Service string
+	Target  string
+}
+
 // Actions is what an instance has to do after a step.
 type Actions[R any] struct {
-	Tests []Test
-	// Lost and Found are the services that have become unreachable and reachable again.
-	// Other instances are to be asked about those in Lost.
-	Lost  []string
-	Found []string
+	Tests     []Test
+	Questions []Question
+	// Impaired are the services of which most targets can't be connected to any more, Lost
+	// those of them that other instances reach, and Restored those that are no longer
+	// impaired.
+	Impaired []string
+	Lost     []string
+	Restored []string
 	// Blamed are the failures that count against their targets, and Excused those that
 	// don't.
 	Blamed  []Failure[R]
@@ -88,8 +121,11 @@
 	names  []string
 	// services holds what is known of each service that requests were sent to.
 	services map[string]*service[R]
-	// doubtful holds the names of the services for which Step has something to do.
-	doubtful map[string]struct{}
+	// doubtful holds the names of the services for which Step has something to do, and
+	// urgent those for which it must not wait until nextFullStep.
+	doubtful     map[string]struct{}
+	urgent       map[string]struct{}
+	nextFullStep time.Duration
 	// contactBegan is the latest beginning of a connection to any target that was
 	// established, and contactAt when one last was.
 	contactBegan time.Duration
@@ -102,23 +138,59 @@
 // service is what a Monitor knows of the links to one service's targets.
 type service[R any] struct {
 	contactBegan time.Duration
-	// failed holds the targets that couldn't be connected to since the last contact.
-	failed map[string]struct{}
-	held   []Failure[R]
-	// suspectedAt is when the first of failed and held was added; zero if both are empty.
-	suspectedAt time.Duration
-	// testing holds the targets of the tests that are running.
-	testing map[string]struct{}
-
-	unreachable bool
-	// lostAt and foundAt are when the service last became unreachable and reachable again.
-	lostAt     time.Duration
-	foundAt    time.Duration
+	// contacts holds when each target was last connected to.
+	contacts map[string]time.Duration
+	// results holds the last result of connecting to each target since doubts began, at
+	// doubtedAt. failedAt is when connecting last failed.
+	results   map[string]result
+	doubtedAt time.Duration
+	failedAt  time.Duration
+	held      []Failure[R]
+	// questions holds what other instances were last asked and answered about a target.
+	questions map[string]question
+	// testing holds the targets of the tests that are running, and whether they are
+	// controls.
+	testing map[string]bool
+
+	// connected and failed are the numbers of targets by result, and controlsConnected and
+	// controlsFailed those of the controls among them.
+	connected         int
+	failed            int
+	controlsConnected int
+	controlsFailed    int
+	// cleared is set at clearedAt, once the controls have shown that the service is
+	// reachable.
+	cleared   bool
+	clearedAt time.Duration
+	// impaired is set from impairedAt to restoredAt.
+	impaired   bool
+	impairedAt time.Duration
+	restoredAt time.Duration
 	nextTestAt time.Duration
-	// testified is set if another instance reaches the service although this one doesn't.
+	nextSeekAt time.Duration
+	// linkBack is set if a link that was lost has just come back.
+	linkBack bool
+	// testified is set if another instance reaches a target that this one doesn't.
 	testified bool
 }
 
+// result is the last result of connecting to a target.
+type result struct {
+	connected bool
+	// control is set if the target was tested as a control.
+	control bool
+	began   time.Duration
+	at      time.Duration
+}
+
+// question is a question about a target.
+type question struct {
+	askedAt time.Duration
+	// answered is set if all have answered, and reached if one reaches the target.
+	answered bool
+	reached  bool
+}
+
 // New returns a Monitor that believes all services to be reachable. random chooses the
 // targets of tests.
 func New[R any](random *rand.Rand) *Monitor[R] {
@@ -126,6 +198,7 @@
 		random:   random,
 		services: map[string]*service[R]{},
 		doubtful: map[string]struct{}{},
+		urgent:   map[string]struct{}{},
 	}
 }
 
@@ -137,72 +210,105 @@
 	s := m.services[name]
 	if s == nil {
 		s = &service[R]{
-			failed:  map[string]struct{}{},
-			testing: map[string]struct{}{},
+			contacts:  map[string]time.Duration{},
+			results:   map[string]result{},
+			questions: map[string]question{},
+			testing:   map[string]bool{},
 		}
 		m.services[name] = s
 	}
 	return s
 }
 
-// suspect notes that a service has to be looked at.
-func (m *Monitor[R]) suspect(now time.Duration, name string) {
-	m.doubtful[name] = struct{}{}
-	if s := m.services[name]; s.suspectedAt == 0 {
-		s.suspectedAt = now
+// doubt notes that Step has to look at a service.
+func (m *Monitor[R]) doubt(now time.Duration, name string) {
+	if _, ok := m.doubtful[name]; !ok {
+		m.doubtful[name] = struct{}{}
+		m.services[name].doubtedAt = now
 	}
+	m.urgent[name] = struct{}{}
 }
 
 // Hold takes the failure of an attempt, until Step says whom it counts against.
 func (m *Monitor[R]) Hold(f Failure[R]) {
 	s := m.service(f.Service)
 	if len(s.held) >= maxHeld {
-		m.pending.Excused = append(m.pending.Excused, f)
+		m.settle(f, false)
 		return
 	}
 	s.held = append(s.held, f)
-	m.suspect(f.At, f.Service)
+	m.doubt(f.At, f.Service)
 }
 
 // ConnectFailed records that no connection to a target was established. began is when
 // connecting began.
 func (m *Monitor[R]) ConnectFailed(now, began time.Duration, name, target string) {
 	s := m.service(name)
-	if began < s.contactBegan {
-		return // Another target has been connected to since.
-	}
-	s.failed[target] = struct{}{}
-	m.suspect(now, name)
+	m.doubt(now, name)
+	s.record(target, result{
+		began: began,
+		at:    now,
+	})
+	s.failedAt = now
 }
 
 // ConnectSucceeded records that a connection to a target was established. began is when
 // connecting began.
-func (m *Monitor[R]) ConnectSucceeded(now, began time.Duration, name string) {
+func (m *Monitor[R]) ConnectSucceeded(now, began time.Duration, name, target string) {
 	s := m.service(name)
 	s.contactBegan = max(s.contactBegan, began)
 	m.contactBegan = max(m.contactBegan, began)
 	m.contactAt = now
-	if s.unreachable {
-		m.find(now, name)
+	s.contact(now, target)
+	if _, ok := m.doubtful[name]; !ok || began < s.doubtedAt {
+		return
 	}
-	clear(s.failed)
-	s.held = slices.DeleteFunc(s.held, func(f Failure[R]) bool {
-		if f.At > began {
-			return false
-		}
-		// An attempt that was under way while the links were lost may have failed for that.
-		m.settle(f, f.Began >= s.foundAt)
-		return true
+	m.urgent[name] = struct{}{}
+	if s.impaired && !s.results[target].connected {
+		s.linkBack = true
+	}
+	s.record(target, result{
+		connected: true,
+		began:     began,
+		at:        now,
 	})
-	if len(s.held) == 0 {
-		s.suspectedAt = 0
-		delete(m.doubtful, name)
+}
+
+// record notes the result of connecting to a target, unless a later one is known.
+func (s *service[R]) record(target string, r result) {
+	old, known := s.results[target]
+	if known && r.began < old.began {
 		return
 	}
-	s.suspectedAt = s.held[0].At
+	r.control = s.testing[target] || known && old.control
+	s.results[target] = r
+	if known {
+		s.count(old, -1)
+	}
+	s.count(r, 1)
+}
+
+// count adds to the numbers of results like r.
+func (s *service[R]) count(r result, n int) {
+	all, controls := &s.failed, &s.controlsFailed
+	if r.connected {
+		all, controls = &s.connected, &s.controlsConnected
+	}
+	*all += n
+	if r.control {
+		*controls += n
+	}
+}
+
+// contact notes that a target has been connected to.
+func (s *service[R]) contact(now time.Duration, target string) {
+	s.contacts[target] = now
+	if len(s.contacts) > maxContacts {
+		maps.DeleteFunc(s.contacts, func(_ string, at time.Duration) bool { return now-at > contactTerm })
+	}
 }
 
-// settle decides about a failure that is no longer held.
+// settle decides about a failure.
 func (m *Monitor[R]) settle(f Failure[R], blamed bool) {
 	if blamed {
 		m.pending.Blamed = append(m.pending.Blamed, f)
@@ -211,46 +317,80 @@
 	}
 }
 
-// find records that a service is reachable again. The others are tested at once.
-func (m *Monitor[R]) find(now time.Duration, name string) {
-	s := m.services[name]
-	s.unreachable = false
-	s.foundAt = now
-	m.pending.Found = append(m.pending.Found, name)
-	for other := range m.doubtful {
-		m.services[other].nextTestAt = now
-	}
-}
-
 // EndTest records that a test has ended. It is called after ConnectSucceeded or
 // ConnectFailed.
 func (m *Monitor[R]) EndTest(t Test) { delete(m.service(t.Service).testing, t.Name) }
 
-// Testify records that another instance reaches a service.
-func (m *Monitor[R]) Testify(name string) {
-	if s := m.service(name); s.unreachable {
+// Testify records what other instances have answered to a question: that one of them
+// reaches the target, or that none of those asked does.
+func (m *Monitor[R]) Testify(q Question, reached bool) {
+	s := m.service(q.Service)
+	asked, ok := s.questions[q.Target]
+	if !ok {
+		return
+	}
+	asked.answered = true
+	asked.reached = reached
+	s.questions[q.Target] = asked
+	m.urgent[q.Service] = struct{}{}
+	if reached {
+		m.testify(q.Service)
+	}
+}
+
+// testify records that another instance reaches a target of a service that this one
+// doesn't.
+func (m *Monitor[R]) testify(name string) {
+	if s := m.services[name]; s.impaired && !s.testified {
 		s.testified = true
+		m.pending.Lost = append(m.pending.Lost, name)
 	}
 }
 
+// ask has other instances asked about a target.
+func (m *Monitor[R]) ask(now time.Duration, service, target string) {
+	m.services[service].questions[target] = question{
+		askedAt: now,
+	}
+	m.pending.Questions = append(m.pending.Questions, Question{
+		Service: service,
+		Target:  target,
+	})
+}
+
 // State returns what the instance believes about its links to a service's targets.
 func (m *Monitor[R]) State(name string) State {
 	s := m.services[name]
 	switch {
-	case s != nil && s.unreachable, m.AllLost():
+	case m.AllLost(), s != nil && s.impaired && s.connected == 0:
 		return Unreachable
-	case s != nil && len(s.failed) >= minSuspects:
+	case s == nil:
+		return Reachable
+	case s.impaired && s.testified:
+		return PartlyReachable
+	case s.suspected() && s.failed >= minSuspects:
 		return Suspect
 	default:
 		return Reachable
 	}
 }
 
-// Unreachable returns the names of the services that were found unreachable, sorted.
-func (m *Monitor[R]) Unreachable() []string {
+// IsImpaired reports whether most links to a service are lost.
+func (m *Monitor[R]) IsImpaired(name string) bool {
+	s := m.services[name]
+	return s != nil && s.impaired
+}
+
+// suspected reports whether controls have to show if the links to a service are lost.
+func (s *service[R]) suspected() bool {
+	return !s.impaired && !s.cleared && s.failed > s.connected
+}
+
+// Impaired returns the names of the services to which most links are lost, sorted.
+func (m *Monitor[R]) Impaired() []string {
 	var names []string
 	for name := range m.doubtful {
-		if m.services[name].unreachable {
+		if m.services[name].impaired {
 			names = append(names, name)
 		}
 	}
@@ -264,9 +404,9 @@
 	lost := 0
 	var lostAt time.Duration
 	for name := range m.doubtful {
-		if s := m.services[name]; s.unreachable {
+		if s := m.services[name]; s.impaired && s.connected == 0 {
 			lost++
-			lostAt = max(lostAt, s.lostAt)
+			lostAt = max(lostAt, s.impairedAt)
 		}
 	}
 	return lost > 0 && lost >= min(2, len(m.names)) && m.contactAt < lostAt
@@ -279,149 +419,20 @@
 	return s != nil && s.contactBegan > 0 && s.contactBegan >= at
 }
 
-// Step decides what to do now. targets returns the targets of a service that take part in
-// serving it.
-func (m *Monitor[R]) Step(now time.Duration, targets func(service string) []Target) Actions[R] {
-	allLost := m.AllLost()
-	for _, name := range slices.Sorted(maps.Keys(m.doubtful)) {
-		s := m.services[name]
-		list := targets(name)
-		switch {
-		case len(list) == 0:
-			m.forget(name)
-		case allLost:
-		case !s.unreachable:
-			m.examine(now, name, list, targets)
-		case now >= s.nextTestAt:
-			s.nextTestAt = now + retestPeriod
-			m.test(name, list, 1)
-		}
-	}
-	if m.AllLost() && now >= m.nextLostTest {
-		m.nextLostTest = now + retestPeriod
-		m.testLost(targets)
-	}
-	m.settleHeld(now)
-	actions := m.pending
-	m.pending = Actions[R]{}
-	return actions
-}
-
-// forget drops a service that has no targets any more.
-func (m *Monitor[R]) forget(name string) {
-	for _, f := range m.services[name].held {
-		m.settle(f, false)
-	}
-	if m.services[name].unreachable {
-		m.pending.Found = append(m.pending.Found, name)
-	}
-	delete(m.services, name)
-	delete(m.doubtful, name)
-}
-
-// examine tests the targets of a suspected service, or finds that it is unreachable.
-func (m *Monitor[R]) examine(now time.Duration, name string, list []Target, targets func(string) []Target) {
-	s := m.services[name]
-	failed := 0
-	for _, t := range list {
-		if _, ok := s.failed[t.Name]; ok {
-			failed++
-		}
-	}
-	needed := min(minLost, len(list))
-	switch {
-	case failed >= needed:
-		m.lose(now, name, targets)
-	case failed < minSuspects && now < s.suspectedAt+TestDelay:
-	case failed == 0:
-		m.test(name, list, 1-len(s.testing))
-	default:
-		m.test(name, list, needed-failed-len(s.testing))
-	}
-}
-
-// lose records that a service is unreachable. Other services are tested, to know whether
-// they are, too.
-func (m *Monitor[R]) lose(now time.Duration, name string, targets func(string) []Target) {
+// Contacted returns the targets of a service that the instance has lately connected to. A
+// request goes to one of these if others couldn't be connected to.
+func (m *Monitor[R]) Contacted(now time.Duration, name string) []string {
 	s := m.services[name]
-	s.unreachable = true
-	s.testified = false
-	s.lostAt = now
-	s.nextTestAt = now + retestPeriod
-	m.pending.Lost = append(m.pending.Lost, name)
-	others := slices.DeleteFunc(slices.Clone(m.names), func(other string) bool {
-		return other == name || m.ContactSince(other, s.suspectedAt) || m.State(other) != Reachable
-	})
-	m.shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, other := range others[:min(controlTests, len(others))] {
-		m.test(other, targets(other), 1-len(m.service(other).testing))
-	}
-}
-
-// testLost asks for tests of any services while none is reachable.
-func (m *Monitor[R]) testLost(targets func(string) []Target) {
-	names := slices.Clone(m.names)
-	m.shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names[:min(maxLostTests, len(names))] {
-		m.test(name, targets(name), 1)
-	}
-}
-
-// settleHeld decides about the failures that are held for unreachable services.
-func (m *Monitor[R]) settleHeld(now time.Duration) {
-	allLost := m.AllLost()
-	for _, name := range slices.Sorted(maps.Keys(m.doubtful)) {
-		s := m.services[name]
-		if !s.unreachable && !allLost {
-			continue
-		}
-		s.held = slices.DeleteFunc(s.held, func(f Failure[R]) bool {
-			excused := s.testified || allLost
-			if !excused && now < max(s.lostAt, f.At)+testimonyTime {
-				return false
-			}
-			// The service has failed if another one can be connected to.
-			m.settle(f, !excused && m.contactBegan >= f.At)
-			return true
-		})
+	if s == nil {
+		return nil
 	}
-}
-
-// test asks for up to number tests of a service's targets: at first those that haven't
-// failed, are usable, and lie in zones that aren't tested yet.
-func (m *Monitor[R]) test(name string, list []Target, number int) {
-	s := m.service(name)
-	rest := slices.Clone(list)
-	m.shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	zones := map[string]int{}
-	for range number {
-		best, bestRank := -1, 0
-		for i, t := range rest {
-			if _, running := s.testing[t.Name]; running {
-				continue
-			}
-			rank := zones[t.Zone]
-			if !t.Usable {
-				rank += len(list)
-			}
-			if _, failed := s.failed[t.Name]; failed {
-				rank += 2 * len(list)
-			}
-			if best < 0 || rank < bestRank {
-				best, bestRank = i, rank
-			}
+	var targets []string
+	for target, at := range s.contacts {
+		r, known := s.results[target]
+		if now-at <= contactTerm || known && r.connected {
+			targets = append(targets, target)
 		}
-		if best < 0 {
-			return
-		}
-		chosen := rest[best]
-		s.testing[chosen.Name] = struct{}{}
-		zones[chosen.Zone]++
-		m.pending.Tests = append(m.pending.Tests, Test{
-			Service: name,
-			Target:  chosen,
-		})
 	}
+	slices.Sort(targets)
+	return targets
 }
-
-func (m *Monitor[R]) shuffle(n int, swap func(i, j int)) { m.random.Shuffle(n, swap) }
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -114,6 +114,8 @@
 	Repeatable bool
 	// Avoid holds the names of targets that were already tried.
 	Avoid []string
+	// Prefer holds the names of targets that are chosen before others, wherever they are.
+	Prefer []string
 }
 
 // New returns an empty table for an instance in the given zone.
@@ -157,6 +159,9 @@
 	if len(candidates) == 0 {
 		return document.Target{}, false
 	}
+	if preferred := named(candidates, r.Prefer); len(preferred) > 0 {
+		candidates = preferred
+	}
 	s := t.lessLoaded(now, t.preferZone(now, candidates))
 	s.running++
 	return s.Target, true
@@ -224,6 +229,17 @@
 	return least
 }
 
+// named returns the targets whose names are in the list.
+func named(targets []*targetState, names []string) []*targetState {
+	var list []*targetState
+	for _, s := range targets {
+		if slices.Contains(names, s.Name) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // percentOf returns the given percentage of all, rounded up and at least one.
 func percentOf(all, percent int) int { return max((all*percent+99)/100, 1) }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -58,6 +58,9 @@
 	return r
 }
 
+// Members returns all members. They must not be changed.
+func (r *Roster) Members() []instance.Info { return r.members }
+
 // Len returns the number of members.
 func (r *Roster) Len() int { return len(r.members) }
 
