--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -88,6 +88,8 @@
 	Death Death
 	// Shed answers every request with 503 and the shed header.
 	Shed bool
+	// RetryAfter is the Retry-After of shed requests; "1" if it is empty.
+	RetryAfter string
 	// Drain announces in each answer that the target is leaving.
 	Drain bool
 	// Unhealthy makes the health endpoint answer 503 while requests succeed.
--- a/internal/standin/target_work.go
+++ b/internal/standin/target_work.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -188,9 +189,10 @@
 func (t *Target) shed(w http.ResponseWriter) {
 	t.mu.Lock()
 	t.counts.Shed++
+	wait := cmp.Or(t.faults.RetryAfter, "1")
 	t.mu.Unlock()
 	w.Header().Set(HeaderShed, "true")
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", wait)
 	http.Error(w, "shed", http.StatusServiceUnavailable)
 }
 
