Send nothing to a target that has asked this instance for rest

What was seen (BUDGET): a target asked an instance for 3 s of rest and got three requests from it in that time. Cause: Retry-After of a 503 was passed on to the caller, and the target was left out for 0.3 s, whatever it had asked for.

The table of targets now keeps the rest. First attempts, retries, tests on probation, the floor and relayed requests choose among the others, and it is looked at again right before the first byte, on kept connections too. A rest is no failure, and of one instance. All targets rest: refused at once, Retry-After until the first is back, spread. Values that are no number are ignored with a line, and five minutes are the most. Callers whose request was shed are told 1 s, since other targets may serve them earlier.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -153,6 +153,9 @@
 // decides.
 func (s *slot) OverdueAfter() time.Duration { return 0 }
 
+// MaySend implements entry.Slot.
+func (s *slot) MaySend() bool { return true }
+
 // excludedNames returns the first two names in the form that a table takes.
 func excludedNames(names []string) [2]string {
 	var out [2]string
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -64,7 +65,11 @@
 		a.finish(target.Shed)
 		return failedAttempt{
 			outcome: target.Shed,
-			refusal: shedRefusal(r.Response),
+			refusal: &Refusal{
+				Status:     http.StatusServiceUnavailable,
+				Reason:     "target-shed",
+				RetryAfter: shedRetryAfter,
+			},
 		}
 	}
 	if err := a.readPrefix(); err != nil {
@@ -137,19 +142,10 @@
 	return r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(d.ShedHeader) == "true"
 }
 
-// shedRefusal returns the refusal for an answer that shed the request, with the
-// target's Retry-After if that is 1 to 60 seconds.
-func shedRefusal(r *http.Response) *Refusal {
-	wait := time.Second
-	if s, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil && s > 0 && s <= 60 {
-		wait = time.Duration(s) * time.Second
-	}
-	return &Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Reason:     "target-shed",
-		RetryAfter: wait,
-	}
-}
+// shedRetryAfter is the Retry-After sent to callers of a request that targets have shed.
+// What a target says in its own Retry-After concerns this instance; other targets may
+// serve the caller earlier.
+const shedRetryAfter = time.Second
 
 // readPrefix reads the beginning of the body. If that is all of it, the answer is
 // finished.
@@ -202,9 +198,42 @@
 		Misdirected:    a.response.StatusCode == http.StatusMisdirectedRequest,
 		Draining:       a.draining(),
 		Limit:          a.limit(outcome),
+		Rest:           a.rest(outcome),
 	})
 }
 
+// maxRest bounds the rest that a target may ask for.
+const maxRest = 5 * time.Minute
+
+// rest returns how long the target wants no requests from this instance: the Retry-After of
+// an answer with status 503, in seconds. A crossed answer and one that another target at the
+// address gave say nothing.
+func (a *answer) rest(outcome target.Outcome) time.Duration {
+	if a.response.StatusCode != http.StatusServiceUnavailable || outcome == target.Truncated {
+		return 0
+	}
+	rest, ignored := parseRest(a.response.Header.Values("Retry-After"))
+	if len(ignored) > 0 {
+		a.exchange.logIgnoredRest(ignored)
+	}
+	return rest
+}
+
+// parseRest returns the longest of the values in seconds, at most maxRest, and the values
+// that are no positive number. A date is one of these: the clocks of the instance and the
+// target may differ by more than the rest.
+func parseRest(values []string) (rest time.Duration, ignored []string) {
+	for _, text := range values {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(seconds) || seconds < 0 {
+			ignored = append(ignored, text)
+			continue
+		}
+		rest = max(rest, time.Duration(min(seconds, maxRest.Seconds())*float64(time.Second)))
+	}
+	return rest, ignored
+}
+
 // limit returns what the answer says about the requests that the target takes. Only a
 // success without the header says that there is no limit. A crossed answer and one that
 // another target at the address gave say nothing.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -348,7 +348,7 @@
 			Retry:      p.exchange.sentAttempts > 0,
 			Suspect:    p.exchange.permit.Suspect(),
 		}),
-		Gate: func() error { return p.exchange.checkBeforeSend(ctx) },
+		Gate: func() error { return p.checkBeforeSend(ctx) },
 	})
 	switch r := result.(type) {
 	case forward.Answered:
@@ -358,8 +358,12 @@
 		if failure.outcome == target.Refused {
 			p.logUnsent(r.Err)
 		}
+		outcome := failure.outcome
+		if r.Err.Stage == forward.Gated {
+			outcome = target.Cancelled
+		}
 		p.release(AttemptResult{
-			Outcome:        failure.outcome,
+			Outcome:        outcome,
 			Reused:         r.Err.Reused,
 			Rested:         r.Err.Rested,
 			LostConnection: r.Err.Stage != forward.Gated && !r.Err.Malformed,
@@ -369,6 +373,21 @@
 	return nil
 }
 
+// errNotTaken says that a target has asked for rest, or for no more requests, since it was
+// chosen.
+var errNotTaken = errors.New("target takes no requests now")
+
+// checkBeforeSend is called just before the first byte is sent.
+func (p *placedAttempt) checkBeforeSend(ctx context.Context) error {
+	if err := p.exchange.checkBeforeSend(ctx); err != nil {
+		return err
+	}
+	if !p.slot.MaySend() {
+		return errNotTaken
+	}
+	return nil
+}
+
 // release ends the attempt's context and gives the slot back.
 func (p *placedAttempt) release(r AttemptResult) {
 	p.cancel()
@@ -413,6 +432,8 @@
 func (p *placedAttempt) classifyFailure(ctx context.Context, err *forward.Error) failedAttempt {
 	var refusal *Refusal
 	switch {
+	case err.Stage == forward.Gated && errors.Is(err, errNotTaken):
+		return p.unsentFailure(err)
 	case err.Stage == forward.Gated && errors.As(err, &refusal):
 		return failedAttempt{
 			outcome: target.Cancelled,
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -109,6 +109,9 @@
 	Draining bool
 	// Limit is what the answer says about the requests that the target takes.
 	Limit meter.TargetLimit
+	// Rest is how long the target wants no requests from this instance; zero if it
+	// didn't say so.
+	Rest time.Duration
 }
 
 // Slot is a place for one attempt at a target.
@@ -119,6 +122,9 @@
 	// answer before it is retried at another target. If it is zero, the handler
 	// decides.
 	OverdueAfter() time.Duration
+	// MaySend reports whether the target still takes the attempt. It is called just
+	// before the first byte is sent.
+	MaySend() bool
 	// Release gives the slot back and reports how the attempt ended. It is
 	// called once.
 	Release(AttemptResult)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -126,6 +126,28 @@
 	is.Equal(env.admission.spent.Load(), int64(0))
 }
 
+// Guards against a request that is sent to a target which has asked for rest since it was
+// chosen, and against a caller who is refused for that.
+func TestTargetThatRestsBeforeTheFirstByteGetsNothing(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(t, 2)
+			env.overdue = &overdueSettings{
+				granted: true,
+			}
+			for i := range 10 {
+				id := strconv.Itoa(i)
+				env.restsOnce.Store(true)
+				got := env.call(method, "/bookings", "", withExecution(id))
+				is.Equal(got.status, http.StatusOK)
+				is.Equal(env.executions(id), 1)
+			}
+			is.Equal(env.targets[0].Counts().Arrived+env.targets[1].Counts().Arrived, uint64(10))
+		})
+	}
+}
+
 // A caller's key must not reach a target, on whichever route and in whichever place
 // the caller sends it.
 func TestCallersKeyDoesNotReachTargets(t *testing.T) {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -125,6 +125,13 @@
 		slog.Duration("Left", time.Until(x.deadline)))
 }
 
+// logIgnoredRest logs values of a target's Retry-After that can't be used.
+func (x *exchange) logIgnoredRest(values []string) {
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelWarn, "target's Retry-After ignored",
+		slog.String("Request", x.id),
+		slog.Any("Values", values))
+}
+
 // logRelayed logs that another instance has sent the request here.
 func (x *exchange) logRelayed() {
 	if !x.handler.logDecisions {
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -41,7 +41,9 @@
 	targets  []*standin.TargetServer
 	dispatch *dispatch.Dispatcher
 	// overdue, if set, replaces the overdue time of slots and the retry decision.
-	overdue    *overdueSettings
+	overdue *overdueSettings
+	// restsOnce makes the target of the next attempt ask for rest after it was chosen.
+	restsOnce  atomic.Bool
 	snapshot   atomic.Pointer[entry.Snapshot]
 	document   document.Document
 	claims     *fakeClaims
@@ -156,6 +158,11 @@
 // Acquire implements entry.Dispatcher.
 func (e *testEnv) Acquire(ctx context.Context, want entry.SlotRequest) (entry.Slot, error) {
 	slot, err := e.dispatch.Acquire(ctx, want)
+	if err == nil && e.restsOnce.Swap(false) {
+		return restingSlot{
+			Slot: slot,
+		}, nil
+	}
 	if err != nil || e.overdue == nil {
 		return slot, err
 	}
@@ -186,6 +193,12 @@
 	wait time.Duration
 }
 
+// restingSlot is a slot at a target that takes no request any more.
+type restingSlot struct{ entry.Slot }
+
+// MaySend implements entry.Slot.
+func (restingSlot) MaySend() bool { return false }
+
 // OverdueAfter implements entry.Slot.
 func (s overdueSlot) OverdueAfter() time.Duration { return s.wait }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -31,6 +32,9 @@
 	// noTargetRetryAfter is the Retry-After sent to callers of a service without
 	// available targets.
 	noTargetRetryAfter = time.Second
+	// minRestSpread is the least time over which callers come back after all targets of a
+	// service have rested.
+	minRestSpread = 500 * time.Millisecond
 )
 
 // service is the instance's state of one service, guarded by localState.mu.
@@ -121,8 +125,13 @@
 		if s == nil {
 			return
 		}
-		if held := s.table.HeldFor(boot.Now()); held > 0 {
-			refusal.Reason, refusal.RetryAfter = "targets-limited", held
+		switch wait := s.table.Wait(boot.Now()); {
+		case wait.Resting:
+			// Those who come back at the same moment would all meet the same target.
+			refusal.Reason = "targets-resting"
+			refusal.RetryAfter = wait.Until + rand.N(max(wait.Until/2, minRestSpread))
+		case wait.Until > 0:
+			refusal.Reason, refusal.RetryAfter = "targets-limited", wait.Until
 		}
 	})
 	g.logger.Warn("service has no available target",
@@ -264,11 +273,23 @@
 	return outlier.EffectiveOutcome(e.Outcome, e.Latency, sl.responseTimeout)
 }
 
+// MaySend implements entry.Slot.
+func (sl *slot) MaySend() bool {
+	st := sl.gateway.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	s := st.services[sl.service]
+	return s != nil && s.table.MaySend(boot.Now(), sl.target.Name)
+}
+
 // Release implements entry.Slot.
 func (sl *slot) Release(e entry.AttemptResult) {
 	sl.timer.Stop()
 	g := sl.gateway
 	g.recordLimit(sl.target.Name, e.Limit)
+	if e.Rest > 0 && !e.Misdirected {
+		sl.recordRest(e.Rest)
+	}
 	report := attemptReport{
 		service: sl.service,
 		target:  sl.target.Name,
@@ -302,6 +323,21 @@
 	}
 }
 
+// recordRest records that the target wants no requests from this instance for a time.
+func (sl *slot) recordRest(rest time.Duration) {
+	g := sl.gateway
+	g.state.withLock(func() {
+		if s := g.state.services[sl.service]; s != nil {
+			s.table.Rest(boot.Now()+rest, sl.target.Name)
+		}
+	})
+	g.count("Target.Rested")
+	g.logger.Info("target asks for rest",
+		slog.String("Service", sl.service),
+		slog.String("Target", sl.target.Name),
+		slog.Duration("Rest", rest))
+}
+
 // connectionKind names a new or a reused connection in counters.
 func connectionKind(reused bool) string {
 	if reused {
--- a/internal/standin/format_internal_test.go
+++ b/internal/standin/format_internal_test.go
@@ -88,6 +88,7 @@
 			Cross:        true,
 			Death:        DeathDuring,
 			Shed:         true,
+			RetryAfter:   "2.5",
 			Drain:        true,
 			Unhealthy:    true,
 		},
@@ -103,7 +104,7 @@
 			MostRunning:      9,
 		},
 	}, `{"Name":"desk-a","Address":"10.0.1.1:80",`+
-		`"Faults":{"GrayFraction":0.5,"Hang":true,"SlowFactor":2.5,"Truncate":"chunk","Cross":true,"Death":"during","Shed":true,"Drain":true,"Unhealthy":true},`+
+		`"Faults":{"GrayFraction":0.5,"Hang":true,"SlowFactor":2.5,"Truncate":"chunk","Cross":true,"Death":"during","Shed":true,"RetryAfter":"2.5","Drain":true,"Unhealthy":true},`+
 		`"Counts":{"Arrived":1,"Executed":2,"Shed":3,"Probes":4,"Crashes":5,"Cancelled":6,"KeysSeen":7,"WithoutRequestID":8,"MostRunning":9}}`)
 	is := is.New(t)
 	is.Equal([]Truncation{TruncateLength, TruncateChunk}, []Truncation{"length", "chunk"})
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -21,6 +21,9 @@
 // decides whether it may get one more. If not, its choice is taken back with Hold, and
 // other targets are chosen until it may be asked for again.
 //
+// A target may also ask one instance for rest. Until that is over, the instance sends it
+// nothing, whatever the other targets' state.
+//
 // The instances of a zone tell each other several times a second how many
 // requests they have in flight at each target. Requests stay in the instance's
 // own zone while a target there has a free slot, and go to the less loaded of two
@@ -33,10 +36,12 @@
 //	chosen, ok := t.Choose(now, outlier.Request{Repeatable: true})
 //	// If the target has named a limit and may get no more requests:
 //	t.Hold(now+retryAfter, chosen.Name)
-//	// Else send the request, then:
+//	// If t.MaySend(now, chosen.Name) still holds, send the request, then:
 //	if t.Done(now, chosen.Name, outcome) {
 //		// Broadcast the outcome; the other instances call ReceiveOutcome.
 //	}
+//	// If the target has asked for rest:
+//	t.Rest(now+rest, chosen.Name)
 //	// Several times a second, send t.Loads() to the instances of the zone,
 //	// which call ReceiveLoad.
 package outlier
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -92,6 +92,8 @@
 	// heldUntil is when this instance may next ask to use the target, which limits the
 	// requests that it takes.
 	heldUntil time.Duration
+	// restUntil is until when the target wants no requests from this instance.
+	restUntil time.Duration
 	// errorCount is the number of the target's entries in Table.errors.
 	errorCount int
 }
@@ -181,7 +183,7 @@
 		}
 		all++
 		switch {
-		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil:
+		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
 		case now < s.ejectedUntil || now < s.pausedUntil:
@@ -217,13 +219,39 @@
 	}
 }
 
-// HeldFor returns how long until the first held target may be chosen again, and zero if
-// none is held.
-func (t *Table) HeldFor(now time.Duration) time.Duration {
-	least := time.Duration(0)
+// Rest records that a target wants no requests from this instance until the given time.
+// That is no failure.
+func (t *Table) Rest(until time.Duration, name string) {
+	if s := t.targets[name]; s != nil {
+		s.restUntil = max(s.restUntil, until)
+	}
+}
+
+// MaySend reports whether a request may still be sent to a target that was chosen for it.
+func (t *Table) MaySend(now time.Duration, name string) bool {
+	s := t.targets[name]
+	return s != nil && now >= s.restUntil
+}
+
+// Wait is how long no target takes a request.
+type Wait struct {
+	// Until is how long until the first of the targets that are held or rest may be
+	// chosen again, and zero if none is.
+	Until time.Duration
+	// Resting is set if that one rests.
+	Resting bool
+}
+
+// Wait returns how long until a target may be chosen that is held or rests now.
+func (t *Table) Wait(now time.Duration) Wait {
+	var least Wait
 	for _, s := range t.order {
-		if d := s.heldUntil - now; d > 0 && !s.Leaving && (least == 0 || d < least) {
-			least = d
+		d := max(s.heldUntil, s.restUntil) - now
+		if d > 0 && !s.Leaving && (least.Until == 0 || d < least.Until) {
+			least = Wait{
+				Until:   d,
+				Resting: s.restUntil > s.heldUntil,
+			}
 		}
 	}
 	return least
@@ -485,8 +513,10 @@
 	OnProbation int
 	// Unavailable counts targets that are ejected or paused after shedding a request.
 	Unavailable int
-	// Held counts targets that may take no more requests of this instance for now.
+	// Held counts targets that may take no more requests of this instance for now, and
+	// Resting those that want none.
 	Held    int
+	Resting int
 	Leaving int
 }
 
@@ -497,6 +527,8 @@
 		switch {
 		case s.Leaving:
 			c.Leaving++
+		case now < s.restUntil:
+			c.Resting++
 		case now < s.heldUntil:
 			c.Held++
 		case now < s.ejectedUntil || now < s.pausedUntil:
@@ -524,7 +556,7 @@
 		if !s.Leaving {
 			list = append(list, Availability{
 				Target: s.Target,
-				Usable: now >= max(s.ejectedUntil, s.probationUntil, s.pausedUntil, s.heldUntil),
+				Usable: now >= max(s.ejectedUntil, s.probationUntil, s.pausedUntil, s.heldUntil, s.restUntil),
 			})
 		}
 	}
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -495,7 +495,7 @@
 	table.Hold(now+2*time.Second, "desk-00")
 	is.Equal(c.Name, "desk-00") // the only healthy one
 	is.Equal(table.InUse(now, "desk-00"), 0)
-	is.Equal(table.HeldFor(now), 2*time.Second)
+	is.Equal(table.Wait(now), outlier.Wait{Until: 2 * time.Second})
 	is.Equal(table.Counts(now).Held, 1)
 	is.Equal(chosen(table, now, any)["desk-00"], 0) // rather one that has just failed
 	any.Avoid = []string{"desk-01", "desk-02"}
@@ -515,5 +515,81 @@
 	table.Hold(now+time.Second, "desk-01")
 	_, ok := table.Choose(now, outlier.Request{})
 	is.True(!ok)
-	is.Equal(table.HeldFor(now), time.Second)
+	is.Equal(table.Wait(now), outlier.Wait{Until: time.Second})
+}
+
+// Guards against a request to a target that has asked for rest, and against a rest that has
+// consequences beyond its end.
+func TestRestingTargetIsLeftAlone(t *testing.T) {
+	tests := []struct {
+		name    string
+		targets int
+		resting int
+		request outlier.Request
+		// chosen is set if there is a target for the request.
+		chosen bool
+	}{
+		{
+			name:    "one of several",
+			targets: 4,
+			resting: 1,
+			chosen:  true,
+		},
+		{
+			name:    "all but one",
+			targets: 10,
+			resting: 9,
+			chosen:  true,
+		},
+		{
+			name:    "all but one, which was tried",
+			targets: 3,
+			resting: 2,
+			request: outlier.Request{
+				Repeatable: true,
+				Avoid:      []string{"desk-02"},
+			},
+			chosen: true,
+		},
+		{
+			name:    "preferred",
+			targets: 3,
+			resting: 1,
+			request: outlier.Request{
+				Prefer: []string{"desk-00"},
+			},
+			chosen: true,
+		},
+		{
+			name:    "all",
+			targets: 3,
+			resting: 3,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(tt.targets)
+			for i := range tt.resting {
+				table.Rest(now+2*time.Second, fmt.Sprintf("desk-%02d", i))
+				table.Rest(now+time.Second, fmt.Sprintf("desk-%02d", i)) // doesn't shorten it
+			}
+			for at := now; at < now+2*time.Second; at += 100 * time.Millisecond {
+				for range 20 {
+					chosen, ok := table.Choose(at, tt.request)
+					is.Equal(ok, tt.chosen)
+					if ok {
+						is.True(table.MaySend(at, chosen.Name))
+						is.True(chosen.Name >= fmt.Sprintf("desk-%02d", tt.resting))
+						table.Done(at, chosen.Name, target.Succeeded)
+					}
+				}
+			}
+			is.Equal(table.Counts(now).Resting, tt.resting)
+			is.Equal(table.Wait(now+time.Second), outlier.Wait{Until: time.Second, Resting: true})
+			is.Equal(table.Counts(now+2*time.Second).Healthy, tt.targets)
+			is.True(!table.MaySend(now+1999*time.Millisecond, "desk-00"))
+			is.True(table.MaySend(now+2*time.Second, "desk-00"))
+		})
+	}
 }
