End new work for a target whose answers announce its leave (DRAIN)

Nothing read the header Server-Leaving: a target that announces its leave got requests until the store said so, and for good if it never did. Now the run of the target that announced it counts as leaving at the instance that got such an answer, at those it tells, and at one that passed the answer on for another; a registration of the same run doesn't bring it back, a later run does. It is looked at again right before the first byte.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -61,6 +61,9 @@
 			refusal:    mayHaveRunRefusal(reason),
 		}
 	}
+	if a.draining(target.Succeeded) {
+		p.exchange.leavingTarget = p.slot.Target().Name
+	}
 	if p.exchange.handler.dialect.isShed(r.Response) {
 		a.finish(target.Shed)
 		return failedAttempt{
@@ -196,7 +199,7 @@
 		Outcome:        outcome,
 		LostConnection: a.cutShort,
 		Misdirected:    a.response.StatusCode == http.StatusMisdirectedRequest,
-		Draining:       a.draining(),
+		Draining:       a.draining(outcome),
 		Limit:          a.limit(outcome),
 		Rest:           a.rest(outcome),
 	})
@@ -262,10 +265,12 @@
 	}
 }
 
-// draining reports whether the target announces that it is leaving.
-func (a *answer) draining() bool {
+// draining reports whether the target announces that it is leaving. A crossed answer and
+// one that another target at the address gave say nothing.
+func (a *answer) draining(outcome target.Outcome) bool {
 	drain := a.exchange.handler.dialect.DrainHeader
-	return drain != "" && a.response.Header.Get(drain) != ""
+	misdirected := a.response.StatusCode == http.StatusMisdirectedRequest
+	return drain != "" && a.response.Header.Get(drain) != "" && outcome != target.Truncated && !misdirected
 }
 
 // discard finishes an answer that isn't relayed because the request is retried. The
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -231,7 +231,15 @@
 	// sent through another instance. If it is zero, the request waits to its deadline.
 	OverdueAfter() time.Duration
 	// Release ends the attempt. It is called once.
-	Release(RelayOutcome)
+	Release(RelayResult)
+}
+
+// RelayResult tells how an attempt through another instance ended.
+type RelayResult struct {
+	Outcome RelayOutcome
+	// LeavingTarget is the name of the target that answered, if it has announced in its
+	// answer that it is leaving.
+	LeavingTarget string
 }
 
 // RelayOutcome is the result of an attempt through another instance.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -53,6 +53,8 @@
 	counted bool
 	// relayed is set if another instance sent the request here.
 	relayed *relayedRequest
+	// leavingTarget is the target that answered, if it has announced that it is leaving.
+	leavingTarget string
 	// relays counts the other instances to which the request was sent.
 	relays int
 	// grantSpent is set once the grant has been spent.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -25,6 +25,7 @@
 	relayTargetName    = "Target"
 	relayCountedName   = "Counted"
 	relayElsewhereName = "Elsewhere"
+	relayLeavingName   = "Leaving"
 )
 
 const (
@@ -44,6 +45,8 @@
 	sentAttempts int
 	// elsewhere is set if the request has not run and another instance may serve it.
 	elsewhere bool
+	// leavingTarget is as in RelayResult.
+	leavingTarget string
 }
 
 // acquireRelay returns the instance through which the next attempt goes, or nil if it goes
@@ -64,7 +67,9 @@
 // attempt is no retry unless this instance has already sent one.
 func (x *exchange) attemptThrough(ctx context.Context, relay Relay, n int) attemptOutcome {
 	if err := x.renewGrant(ctx); err != nil {
-		relay.Release(RelayAbandoned)
+		relay.Release(RelayResult{
+			Outcome: RelayAbandoned,
+		})
 		return failedAttempt{
 			outcome: target.Cancelled,
 			refusal: asRefusal(err),
@@ -105,12 +110,17 @@
 	relay    Relay
 	// cancel ends the attempt's context.
 	cancel context.CancelFunc
+	// leavingTarget is as in RelayResult.
+	leavingTarget string
 }
 
 // release ends the attempt.
 func (a *relayAttempt) release(outcome RelayOutcome) {
 	a.cancel()
-	a.relay.Release(outcome)
+	a.relay.Release(RelayResult{
+		Outcome:       outcome,
+		LeavingTarget: a.leavingTarget,
+	})
 }
 
 // releaseAnswer ends an attempt whose answer has been read, or broke off.
@@ -207,6 +217,7 @@
 			refusal:    mayHaveRunRefusal("relay-answer-crossed"),
 		}
 	}
+	a.leavingTarget = result.leavingTarget
 	x.counted = x.counted || !result.elsewhere
 	x.handler.recordRelayRevision(result.revision)
 	if r.Response.Header.Get(OutcomeHeader) != "" {
@@ -292,9 +303,10 @@
 		return relayResult{}, errors.Wrap(err, "relay result")
 	}
 	return relayResult{
-		requestID:    values.Get(relayRequestName),
-		revision:     revision,
-		sentAttempts: sent,
-		elsewhere:    values.Get(relayElsewhereName) == "true",
+		requestID:     values.Get(relayRequestName),
+		revision:      revision,
+		sentAttempts:  sent,
+		elsewhere:     values.Get(relayElsewhereName) == "true",
+		leavingTarget: values.Get(relayLeavingName),
 	}, nil
 }
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -88,6 +88,7 @@
 	mu       sync.Mutex
 	next     int
 	outcomes []entry.RelayOutcome
+	leaving  []string
 	overdue  time.Duration
 }
 
@@ -110,10 +111,11 @@
 func (r fakeRelay) Instance() instance.Address  { return r.helper }
 func (r fakeRelay) OverdueAfter() time.Duration { return r.relays.overdue }
 
-func (r fakeRelay) Release(o entry.RelayOutcome) {
+func (r fakeRelay) Release(result entry.RelayResult) {
 	r.relays.mu.Lock()
 	defer r.relays.mu.Unlock()
-	r.relays.outcomes = append(r.relays.outcomes, o)
+	r.relays.outcomes = append(r.relays.outcomes, result.Outcome)
+	r.relays.leaving = append(r.relays.leaving, result.LeavingTarget)
 }
 
 // directRelays are those of an instance with links. They fail the test if a relayed
@@ -153,6 +155,17 @@
 	}
 }
 
+// Guards against an instance that passes on a target's announcement of its leave to a
+// caller, and goes on sending requests to the target because another instance had got it.
+func TestRelayedAnswerTellsOfLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	e := newRelayEnv(t, 1, 1)
+	is.Equal(e.callRelayed(http.MethodPost, "/bookings", "tanker").status, http.StatusOK)
+	e.targets[0].SetFaults(standin.TargetFaults{Drain: true})
+	is.Equal(e.callRelayed(http.MethodPost, "/bookings", "tanker").status, http.StatusOK)
+	is.Equal(e.relays.leaving, []string{"", "desk-a"})
+}
+
 // Guards against a caller's own refusals, the target's errors and a withdrawn key that are
 // lost on the way through another instance.
 func TestRelayedRefusalsReachTheCaller(t *testing.T) {
--- a/internal/entry/relayed.go
+++ b/internal/entry/relayed.go
@@ -138,6 +138,7 @@
 		relayRequestName:   {x.id},
 		relayRevisionName:  {strconv.FormatUint(revision, 10)},
 		relaySentName:      {strconv.Itoa(x.sentAttempts)},
+		relayLeavingName:   {x.leavingTarget},
 		relayElsewhereName: {strconv.FormatBool(elsewhere && x.sentAttempts == x.relayed.sentAttempts)},
 	}.Encode())
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -104,6 +104,7 @@
 		service:         request.Service,
 		route:           request.Route.Name,
 		target:          chosen,
+		incarnation:     st.targets.Incarnation(chosen.Name),
 		first:           !request.Counted,
 		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
 		targetCounts:    s.table.Counts(now),
@@ -199,6 +200,8 @@
 	responseTimeout time.Duration
 	timer           *time.Timer
 	began           time.Duration
+	// incarnation is that of the target when it was chosen.
+	incarnation int64
 	// targetCounts is the state of the service's targets when this one was chosen.
 	targetCounts outlier.Counts
 	// first is set if the request hasn't been counted for the retry budget yet.
@@ -287,9 +290,15 @@
 	sl.timer.Stop()
 	g := sl.gateway
 	g.recordLimit(sl.target.Name, e.Limit)
-	if e.Rest > 0 && !e.Misdirected {
+	if e.Rest > 0 {
 		sl.recordRest(e.Rest)
 	}
+	if e.Draining {
+		g.recordLeaving(leavingReport{
+			Target:      sl.target.Name,
+			Incarnation: sl.incarnation,
+		})
+	}
 	report := attemptReport{
 		service: sl.service,
 		target:  sl.target.Name,
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -399,20 +400,24 @@
 	return d, nil
 }
 
+// parseTarget decodes "IP:port", or "IP:port N" for the run with the incarnation N.
 func parseTarget(key string, value []byte) (target.Registration, error) {
-	if !strings.Contains(string(value), ":") {
+	address, text, _ := strings.Cut(string(value), " ")
+	if !strings.Contains(address, ":") {
 		return target.Registration{}, errors.Errorf("%s: no address", key)
 	}
+	incarnation, _ := strconv.ParseInt(text, 10, 64)
 	name := strings.TrimPrefix(key, targetPrefix)
 	service, _, _ := strings.Cut(name, "-")
 	return target.Registration{
 		Service: service,
 		Target: document.Target{
 			Name:    name,
-			Address: string(value),
+			Address: address,
 			Zone:    "a",
 			Slots:   6,
 		},
+		Incarnation: incarnation,
 	}, nil
 }
 
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -196,6 +196,15 @@
 			},
 			want: "0809420d31302e302e302e313a3730303030015801620622046465736b620622046d696c6c",
 		},
+		{
+			name: "target's leave",
+			m: leavingReport{
+				Target:      "desk-1",
+				Incarnation: 1772512933000,
+				Forward:     true,
+			},
+			want: "080a22066465736b2d311088e98390cb335801",
+		},
 		{
 			name: "question about a target",
 			m: decisionRequest{
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -15,8 +15,8 @@
 )
 
 // message is a datagram between instances: a decisionRequest, decisionResponse,
-// failureReport, loanRequests, loanOffers, loadReport, retryReport, limitReport or
-// linkReport.
+// failureReport, loanRequests, loanOffers, loadReport, retryReport, limitReport, linkReport
+// or leavingReport.
 type message interface{ message() }
 
 // decisionRequest asks a keeper for units of an organisation's rate, for a retry from a
@@ -203,6 +203,7 @@
 	retryReportType
 	limitReportType
 	linkReportType
+	leavingReportType
 )
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
@@ -314,6 +315,8 @@
 		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	case linkReport:
 		return encodeLinkReport(m)
+	case leavingReport:
+		return encodeLeavingReport(m)
 	}
 	return nil
 }
@@ -447,6 +450,8 @@
 		return f.limitReport(), nil
 	case linkReportType:
 		return f.linkReport(), nil
+	case leavingReportType:
+		return f.leavingReport(), nil
 	}
 	return nil, errors.Wrapf(errMalformed, "unknown type %d", f.numbers[fieldType])
 }
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -87,6 +87,8 @@
 		g.handleLimitReport(from, m)
 	case linkReport:
 		g.handleLinkReport(from, m)
+	case leavingReport:
+		g.handleLeavingReport(from, m)
 	case retryReport:
 		g.handleRetryReport(from, m)
 	}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -136,10 +136,13 @@
 func (r *relay) OverdueAfter() time.Duration { return r.overdueAfter }
 
 // Release implements entry.Relay.
-func (r *relay) Release(outcome entry.RelayOutcome) {
-	helpers := r.gateway.state.helpers
-	r.gateway.state.withLock(func() {
-		switch outcome {
+func (r *relay) Release(result entry.RelayResult) {
+	g := r.gateway
+	helpers := g.state.helpers
+	incarnation := int64(0)
+	g.state.withLock(func() {
+		incarnation = g.state.targets.Incarnation(result.LeavingTarget)
+		switch result.Outcome {
 		case entry.RelayAnswered:
 			helpers.Answered(r.service)
 		case entry.RelayDeclined, entry.RelayFailed:
@@ -149,6 +152,12 @@
 		case entry.RelayAbandoned:
 		}
 	})
+	if result.LeavingTarget != "" {
+		g.applyLeaving(leavingReport{
+			Target:      result.LeavingTarget,
+			Incarnation: incarnation,
+		})
+	}
 }
 
 // reportLinks tells all instances which services this one doesn't reach: when that changes,
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -230,7 +230,7 @@
 // MaySend reports whether a request may still be sent to a target that was chosen for it.
 func (t *Table) MaySend(now time.Duration, name string) bool {
 	s := t.targets[name]
-	return s != nil && now >= s.restUntil
+	return s != nil && !s.Leaving && now >= s.restUntil
 }
 
 // Wait is how long no target takes a request.
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -16,6 +16,10 @@
 // back shows what it held some seconds earlier.
 const departureTerm = time.Minute
 
+// announcementTerm is how long a target's announcement that it is leaving holds. Targets
+// leave within seconds of it.
+const announcementTerm = 10 * time.Minute
+
 // Registry holds the targets that have registered themselves. It is not safe for
 // concurrent use.
 type Registry struct {
@@ -23,6 +27,9 @@
 	// departed holds the last registrations of targets that have left, with the time at
 	// which they are forgotten.
 	departed map[string]departure
+	// announced holds the runs of targets that have announced in their answers that they
+	// are leaving, with the time at which that is forgotten.
+	announced map[string]announcement
 	// missing holds the targets whose registration expired around an outage, with the
 	// time at which they are removed.
 	missing map[string]time.Duration
@@ -34,12 +41,19 @@
 	until time.Duration
 }
 
+// announcement says that one run of a target is leaving.
+type announcement struct {
+	incarnation int64
+	until       time.Duration
+}
+
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		targets:  map[string]Registration{},
-		departed: map[string]departure{},
-		missing:  map[string]time.Duration{},
+		targets:   map[string]Registration{},
+		departed:  map[string]departure{},
+		announced: map[string]announcement{},
+		missing:   map[string]time.Duration{},
 	}
 }
 
@@ -54,11 +68,34 @@
 		return false
 	}
 	delete(r.departed, name)
+	if a, ok := r.announced[name]; ok && a.incarnation == reg.Incarnation {
+		reg.Target.Leaving = true
+	}
 	r.targets[name] = reg
 	delete(r.missing, name)
 	return true
 }
 
+// Announce records that a run of a target has announced that it is leaving, which its
+// registration may not say yet. It reports whether that is news.
+func (r *Registry) Announce(now time.Duration, name string, incarnation int64) bool {
+	reg, ok := r.targets[name]
+	if !ok || reg.Incarnation != incarnation {
+		return false
+	}
+	r.announced[name] = announcement{
+		incarnation: incarnation,
+		until:       now + announcementTerm,
+	}
+	news := !reg.Target.Leaving
+	reg.Target.Leaving = true
+	r.targets[name] = reg
+	return news
+}
+
+// Incarnation returns the incarnation of a target, and zero if there is no such target.
+func (r *Registry) Incarnation(name string) int64 { return r.targets[name].Incarnation }
+
 // Remove removes a target whose registration is gone. If that happened around an
 // outage of the store, the registration may merely have expired; the target is then
 // kept for reregistrationTimeout, unless it was leaving.
@@ -85,6 +122,7 @@
 // whether there were any.
 func (r *Registry) Expire(now time.Duration) bool {
 	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now >= d.until })
+	maps.DeleteFunc(r.announced, func(_ string, a announcement) bool { return now >= a.until })
 	changed := false
 	for name, until := range r.missing {
 		if now >= until {
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -100,3 +100,80 @@
 	r.Expire(6 * time.Minute)
 	is.True(r.Put(registered("desk-1", 100, 4, false))) // forgotten
 }
+
+// Guards against a registration that brings back a target which has announced that it is
+// leaving, and against a later run of the target that stays out of use.
+func TestAnnouncedLeaveHoldsForTheRun(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(r *target.Registry) bool
+		// news is what Announce reports, and leaving the state afterwards.
+		news    bool
+		leaving bool
+	}{
+		{
+			name:    "announced",
+			play:    func(r *target.Registry) bool { return r.Announce(0, "desk-1", 1) },
+			news:    true,
+			leaving: true,
+		},
+		{
+			name: "announced twice",
+			play: func(r *target.Registry) bool {
+				r.Announce(0, "desk-1", 1)
+				return r.Announce(0, "desk-1", 1)
+			},
+			leaving: true,
+		},
+		{
+			name: "later registration of the same run",
+			play: func(r *target.Registry) bool {
+				news := r.Announce(0, "desk-1", 1)
+				r.Put(registered("desk-1", 1, 9, false))
+				return news
+			},
+			news:    true,
+			leaving: true,
+		},
+		{
+			name: "registered again after a removal",
+			play: func(r *target.Registry) bool {
+				news := r.Announce(0, "desk-1", 1)
+				r.Remove(0, "desk-1", false)
+				r.Put(registered("desk-1", 1, 9, false))
+				return news
+			},
+			news:    true,
+			leaving: true,
+		},
+		{
+			name: "later run",
+			play: func(r *target.Registry) bool {
+				news := r.Announce(0, "desk-1", 1)
+				r.Put(registered("desk-1", 2, 1, false))
+				return news
+			},
+			news: true,
+		},
+		{
+			name: "announcement of an earlier run",
+			play: func(r *target.Registry) bool {
+				r.Put(registered("desk-1", 2, 1, false))
+				return r.Announce(0, "desk-1", 1)
+			},
+		},
+		{
+			name: "announcement of an unknown target",
+			play: func(r *target.Registry) bool { return r.Announce(0, "desk-2", 1) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := target.NewRegistry()
+			r.Put(registered("desk-1", 1, 1, false))
+			is.Equal(tt.play(r), tt.news)
+			is.Equal(r.Services()["desk"][0].Target.Leaving, tt.leaving)
+		})
+	}
+}
