--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -237,3 +237,108 @@
 		})
 	}
 }
+
+// restTime is the rest that targets ask for.
+const restTime = 300 * time.Millisecond
+
+// restTarget acquires slots until one is at the target, and releases that with a rest.
+func restTarget(t *testing.T, d *dispatch.Dispatcher, name string) {
+	t.Helper()
+	for {
+		slot, err := d.Acquire(t.Context(), slotRequest("orchard"))
+		is.New(t).NoErr(err)
+		result := entry.AttemptResult{
+			Outcome: target.Succeeded,
+		}
+		found := slot.Target().Name == name
+		if found {
+			result.Outcome, result.Rest = target.Shed, restTime
+		}
+		slot.Release(result)
+		if found {
+			return
+		}
+	}
+}
+
+// Guards against requests to a target that has asked for rest, and against a rest that
+// doesn't end.
+func TestRestingTargetGetsNoSlot(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(2)
+	held, err := d.Acquire(t.Context(), slotRequest("orchard"))
+	is.NoErr(err)
+	resting := held.Target().Name
+	is.True(held.MaySend())
+	restTarget(t, d, resting)
+	is.True(!held.MaySend())
+	held.Release(entry.AttemptResult{
+		Outcome: target.Cancelled,
+	})
+	count := func() int {
+		chosen := 0
+		for range 40 {
+			slot, err := d.Acquire(t.Context(), slotRequest("orchard"))
+			is.NoErr(err)
+			if slot.Target().Name == resting {
+				chosen++
+			}
+			slot.Release(entry.AttemptResult{
+				Outcome: target.Succeeded,
+				Latency: time.Millisecond,
+			})
+		}
+		return chosen
+	}
+	is.Equal(count(), 0)
+	time.Sleep(restTime)
+	is.True(count() > 0)
+}
+
+// Guards against requests that wait in the queue although all targets rest.
+func TestRequestsAreRefusedWhileAllTargetsRest(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(1)
+	var held []entry.Slot
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		slot, err := d.Acquire(ctx, slotRequest("orchard"))
+		cancel()
+		if err != nil {
+			break
+		}
+		held = append(held, slot)
+	}
+	refused := make(chan error)
+	go func() {
+		_, err := d.Acquire(t.Context(), slotRequest("orchard"))
+		refused <- err
+	}()
+	for d.Waiting("desk") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	held[0].Release(entry.AttemptResult{
+		Outcome: target.Shed,
+		Rest:    restTime,
+	})
+	var refusal *entry.Refusal
+	select {
+	case err := <-refused:
+		is.True(errors.As(err, &refusal))
+	case <-time.After(restTime / 2):
+		t.Fatal("request waits for a resting target")
+	}
+	is.Equal(refusal.Reason, "targets-resting")
+	is.True(refusal.RetryAfter > 0)
+	for _, slot := range held[1:] {
+		slot.Release(entry.AttemptResult{
+			Outcome: target.Cancelled,
+		})
+	}
+	time.Sleep(restTime)
+	slot, err := d.Acquire(t.Context(), slotRequest("orchard"))
+	is.NoErr(err)
+	slot.Release(entry.AttemptResult{
+		Outcome: target.Succeeded,
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -145,6 +145,9 @@
 // Release implements entry.Slot.
 func (s *slot) Release(result entry.AttemptResult) {
 	s.Done(result.Outcome, result.Latency)
+	if result.Rest > 0 {
+		s.service.recordRest(s, result.Rest)
+	}
 	s.service.finish(s, result.Outcome)
 	s.service.recordResult(s, result)
 }
@@ -154,7 +157,7 @@
 func (s *slot) OverdueAfter() time.Duration { return 0 }
 
 // MaySend implements entry.Slot.
-func (s *slot) MaySend() bool { return true }
+func (s *slot) MaySend() bool { return s.Pick.MaySend(s.service.dispatcher.clock()) }
 
 // excludedNames returns the first two names in the form that a table takes.
 func excludedNames(names []string) [2]string {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -127,6 +127,10 @@
 		s.mu.Unlock()
 		return s.newSlot(p, request), nil
 	}
+	if wait := s.table.Load().Wait(s.dispatcher.clock()); wait > 0 {
+		s.mu.Unlock()
+		return nil, s.restRefusal(wait)
+	}
 	if s.noTargets || len(request.TriedTargets) > 0 {
 		// A retry doesn't wait: it would take a slot from a first attempt.
 		s.mu.Unlock()
@@ -141,10 +145,10 @@
 // request must wait or no target takes it. The caller holds mu.
 func (s *service) tryStart(request entry.SlotRequest) (placement.Pick, bool) {
 	table := s.table.Load()
-	if !s.queue.TryStart(s.dispatcher.clock(), request.Organisation, table.FreeSlots()) {
+	if !s.queue.TryStart(s.dispatcher.clock(), request.Organisation, table.FreeSlots(s.dispatcher.clock())) {
 		return placement.Pick{}, false
 	}
-	p, ok := table.Pick(s.random, placementRequest(request))
+	p, ok := table.Pick(s.random, s.placementRequest(request))
 	if !ok {
 		s.queue.FinishUnexecuted(s.dispatcher.clock(), request.Organisation, false)
 	}
@@ -249,6 +253,36 @@
 	}
 }
 
+// recordRest records that a target wants no requests from this instance for a time. If all
+// targets rest, the waiting requests are refused. When the rest is over, the target's slots
+// are free again.
+func (s *service) recordRest(p *slot, rest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.dispatcher.clock()
+	p.Rest(now + rest)
+	time.AfterFunc(rest, s.onTimer)
+	wait := s.table.Load().Wait(now)
+	if wait == 0 {
+		return
+	}
+	for number, w := range s.waiting {
+		s.queue.Cancel(w.request.Organisation, number)
+		s.deliver(number, waitResult{
+			refusal: s.restRefusal(wait),
+		})
+	}
+}
+
+// minRestSpread is the least time over which callers come back after all targets of a
+// service have rested, so that they don't all meet the same one.
+const minRestSpread = 500 * time.Millisecond
+
+// restRefusal returns the refusal of a request while all targets rest for a time.
+func (s *service) restRefusal(wait time.Duration) *entry.Refusal {
+	return refusal("targets-resting", wait+rand.N(max(wait/2, minRestSpread)))
+}
+
 // report returns the report on the attempts since the last one, if one is due.
 func (s *service) report(now time.Duration) (target.Report, bool) {
 	if !s.reportPending.Load() {
@@ -288,7 +322,7 @@
 func (s *service) serveWaiters() {
 	table := s.table.Load()
 	for s.queue.Len() > 0 {
-		next, expired, ok := s.queue.Pop(s.dispatcher.clock(), table.FreeSlots())
+		next, expired, ok := s.queue.Pop(s.dispatcher.clock(), table.FreeSlots(s.dispatcher.clock()))
 		s.deliverRefusals(expired)
 		if !ok {
 			break
@@ -305,7 +339,7 @@
 		s.queue.FinishUnexecuted(s.dispatcher.clock(), next.Organisation, false)
 		return
 	}
-	p, ok := table.Pick(s.random, placementRequest(w.request))
+	p, ok := table.Pick(s.random, s.placementRequest(w.request))
 	if !ok {
 		s.queue.FinishUnexecuted(s.dispatcher.clock(), next.Organisation, false)
 		s.deliver(next.Number, waitResult{
@@ -349,7 +383,7 @@
 		return
 	}
 	wait := max(next-s.dispatcher.clock(), 0)
-	if s.table.Load().FreeSlots() > 0 {
+	if s.table.Load().FreeSlots(s.dispatcher.clock()) > 0 {
 		wait = min(wait, recheckInterval)
 	}
 	if s.timer == nil {
@@ -369,10 +403,11 @@
 }
 
 // placementRequest converts a request to the form that a table takes.
-func placementRequest(request entry.SlotRequest) placement.Request {
+func (s *service) placementRequest(request entry.SlotRequest) placement.Request {
 	return placement.Request{
 		Repeatable: request.Repeatable,
 		Exclude:    excludedNames(request.TriedTargets),
+		Now:        s.dispatcher.clock(),
 	}
 }
 
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -229,7 +229,7 @@
 // admit places a request under the fleet's policy, or queues it.
 func (n *loadRun) admit(m *instanceModel, q *request) {
 	name := n.organisationNames[q.organisation]
-	if m.queue.TryStart(n.now, name, m.table.FreeSlots()) {
+	if m.queue.TryStart(n.now, name, m.table.FreeSlots(n.now)) {
 		if n.place(m, q) {
 			return
 		}
@@ -262,7 +262,7 @@
 // dispatch places queued requests while targets have room.
 func (n *loadRun) dispatch(m *instanceModel) {
 	for {
-		r, expired, ok := m.queue.Pop(n.now, m.table.FreeSlots())
+		r, expired, ok := m.queue.Pop(n.now, m.table.FreeSlots(n.now))
 		n.forget(m, expired)
 		if !ok {
 			return
--- a/pkg/placement/example_test.go
+++ b/pkg/placement/example_test.go
@@ -32,7 +32,7 @@
 	if !ok {
 		return
 	}
-	fmt.Println(pick.Target().Name, table.FreeSlots())
+	fmt.Println(pick.Target().Name, table.FreeSlots(0))
 	pick.Done(target.Succeeded, 25*time.Millisecond)
 	// Output: c1 1
 }
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -42,8 +42,14 @@
 	limit       atomic.Uint64
 	fastLatency atomic.Uint64
 	slowLatency atomic.Uint64
+	// restUntil is until when the target wants no requests from this instance, in
+	// nanoseconds on the clock of Request.Now.
+	restUntil atomic.Int64
 }
 
+// rests reports whether the target wants no requests now.
+func (l *load) rests(now time.Duration) bool { return int64(now) < l.restUntil.Load() }
+
 // newLoad returns the counters of a target that has had no requests yet.
 func newLoad() *load {
 	l := &load{}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -217,9 +217,9 @@
 	p, ok := previous.Pick(r, placement.Request{})
 	is.True(ok)
 	next := placement.NewTable(previous, settings(weightedTargets(1)))
-	is.Equal(next.FreeSlots(), 1) // the request in flight still counts
+	is.Equal(next.FreeSlots(0), 1) // the request in flight still counts
 	p.Done(target.Succeeded, time.Millisecond)
-	is.Equal(next.FreeSlots(), 2)
+	is.Equal(next.FreeSlots(0), 2)
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/pkg/placement/table.go
+++ b/pkg/placement/table.go
@@ -65,6 +65,8 @@
 	// Exclude names up to two targets that must not be chosen; an empty name
 	// excludes nothing.
 	Exclude [2]string
+	// Now is the time, on the clock of Pick.Rest.
+	Now time.Duration
 }
 
 // Pick is a chosen target on which one request in flight is counted. Done must be
@@ -167,7 +169,7 @@
 			draw -= e.sampleFraction
 			continue
 		}
-		if !q.excludes(e) && e.load.tryAcquire(e.maxInFlight) {
+		if !q.excludes(e) && !e.load.rests(q.Now) && e.load.tryAcquire(e.maxInFlight) {
 			return Pick{
 				entry:   e,
 				Sampled: true,
@@ -222,7 +224,7 @@
 	if e.watched && !q.Repeatable && !allowWatched {
 		return false
 	}
-	return !q.excludes(e)
+	return !q.excludes(e) && !e.load.rests(q.Now)
 }
 
 func (q Request) excludes(e *entry) bool {
@@ -241,12 +243,45 @@
 	p.entry.load.release(outcome, latency, p.entry.maxInFlight)
 }
 
+// Rest records that the target wants no requests from this instance until a time.
+func (p Pick) Rest(until time.Duration) {
+	for old := p.entry.load.restUntil.Load(); int64(until) > old; old = p.entry.load.restUntil.Load() {
+		if p.entry.load.restUntil.CompareAndSwap(old, int64(until)) {
+			return
+		}
+	}
+}
+
+// MaySend reports whether the target still takes the request.
+func (p Pick) MaySend(now time.Duration) bool { return !p.entry.load.rests(now) }
+
+// Wait returns how long until the first target that receives work ends its rest, if all of
+// them rest, and zero if not.
+func (t *Table) Wait(now time.Duration) time.Duration {
+	least := time.Duration(0)
+	for _, entries := range [][]*entry{t.sameZone, t.otherZones} {
+		for _, e := range entries {
+			rest := time.Duration(e.load.restUntil.Load()) - now
+			if rest <= 0 {
+				return 0
+			}
+			if least == 0 || rest < least {
+				least = rest
+			}
+		}
+	}
+	return least
+}
+
 // FreeSlots returns how many more requests this instance may have in flight now,
-// over all targets that receive work.
-func (t *Table) FreeSlots() int {
+// over all targets that receive work and don't rest.
+func (t *Table) FreeSlots(now time.Duration) int {
 	free := 0
 	for _, entries := range [][]*entry{t.sameZone, t.otherZones} {
 		for _, e := range entries {
+			if e.load.rests(now) {
+				continue
+			}
 			limit := min(int64(e.maxInFlight), int64(loadFloat(&e.load.limit)))
 			free += int(max(0, limit-e.load.inFlight.Load()))
 		}
--- a/pkg/queue/doc.go
+++ b/pkg/queue/doc.go
@@ -39,7 +39,7 @@
 //		Cost:         1,
 //		Deadline:     now + time.Second,
 //	})
-//	request, late, ok := q.Pop(now, table.FreeSlots())
+//	request, late, ok := q.Pop(now, table.FreeSlots(now))
 //	// Answer the refused and the late requests. Run the popped one, and when it ends:
 //	q.Finish(now, "dispatch", 1, held)
 package queue
