Let the target of TestClaimIsReleasedIfRequestDidNotRun ask for no rest

What the test checks is unchanged: a request that was shed releases its claim and may be sent again.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -297,7 +297,8 @@
 	is := is.New(t)
 	env := newTestEnv(t, 1)
 	env.targets[0].SetFaults(standin.TargetFaults{
-		Shed: true,
+		Shed:       true,
+		RetryAfter: "0",
 	})
 	shed := env.call(http.MethodPost, "/bookings", "x", withHeader("Idempotency-Key", "k1"), withExecution("e1"))
 	is.Equal(shed.outcome(), entry.OutcomeNotRun)
