Send requests past a zone that has lost its links as a whole

What callers see (RECOVER): if all instances of a zone lose their links, those that ask each other decline in turn, and after four that don't reach the service a caller is refused for a second, though the other zones have links. Cause: the choice of an instance prefers the own zone whatever its members have answered, and four answers of one zone count like four of the fleet. Now a zone of which one member doesn't reach the service comes last, and no instance is tried only after three zones (or all) have said so.

TestFleetServesCallersOfInstancesWithoutLinks plays fleets with lost links without a network; without the change (rank and zones off) it fails for one zone and for nine tenths, and three cases of TestChoiceOfHelpers do.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -125,12 +125,12 @@
 type relay struct {
 	gateway      *Gateway
 	service      string
-	instance     instance.Address
+	instance     instance.Info
 	overdueAfter time.Duration
 }
 
 // Instance implements entry.Relay.
-func (r *relay) Instance() instance.Address { return r.instance }
+func (r *relay) Instance() instance.Address { return r.instance.Address }
 
 // OverdueAfter implements entry.Relay.
 func (r *relay) OverdueAfter() time.Duration { return r.overdueAfter }
@@ -146,9 +146,9 @@
 		case entry.RelayAnswered:
 			helpers.Answered(r.service)
 		case entry.RelayDeclined, entry.RelayFailed:
-			helpers.Exclude(boot.Now(), r.instance)
+			helpers.Exclude(boot.Now(), r.instance.Address)
 		case entry.RelayCutOff:
-			helpers.CutOff(boot.Now(), r.instance, r.service)
+			helpers.CutOff(boot.Now(), r.instance, r.service, g.settings.Zones)
 		case entry.RelayAbandoned:
 		}
 	})
--- a/pkg/link/helpers.go
+++ b/pkg/link/helpers.go
@@ -16,11 +16,15 @@
 	// exclusionTerm is how long an instance isn't chosen after it has failed or declined
 	// to help.
 	exclusionTerm = 500 * time.Millisecond
-	// maxCutOff is the number of instances that say one after the other that they don't
-	// reach a service either, after which no instance is chosen for it for helplessTerm.
-	// Otherwise each request to a service that is down would go to several instances.
-	maxCutOff    = 4
-	helplessTerm = time.Second
+	// maxCutOff is the number of instances, of at least minCutOffZones zones unless there
+	// are fewer, that say one after the other that they don't reach a service either,
+	// after which no instance is chosen for it for helplessTerm. Otherwise each request to
+	// a service that is down would go to several instances.
+	maxCutOff      = 4
+	minCutOffZones = 3
+	helplessTerm   = time.Second
+	// maxRemembered bounds the instances that are remembered for that.
+	maxRemembered = 16
 )
 
 // Report says which services an instance doesn't reach.
@@ -37,12 +41,21 @@
 	// excluded holds until when an instance isn't chosen, for all services (an empty name)
 	// or for one.
 	excluded map[exclusion]time.Duration
-	// cutOff counts, by service, the instances in a row that don't reach it either, and
-	// helpless holds until when none is chosen.
-	cutOff   map[string]int
+	// suspect holds until when instances of other zones are preferred, because one of the
+	// zone doesn't reach the service. A zone may lose its links as a whole.
+	suspect map[serviceInZone]time.Duration
+	// cutOff holds, by service, the instances in a row that don't reach it either, and
+	// helpless until when none is chosen.
+	cutOff   map[string][]instance.Info
 	helpless map[string]time.Duration
 }
 
+// serviceInZone names a service as the instances of a zone reach it.
+type serviceInZone struct {
+	zone    string
+	service string
+}
+
 // timedReport is a report and when it expires.
 type timedReport struct {
 	Report
@@ -60,7 +73,8 @@
 	return &Helpers{
 		reports:  map[instance.Address]timedReport{},
 		excluded: map[exclusion]time.Duration{},
-		cutOff:   map[string]int{},
+		suspect:  map[serviceInZone]time.Duration{},
+		cutOff:   map[string][]instance.Info{},
 		helpless: map[string]time.Duration{},
 	}
 }
@@ -88,39 +102,62 @@
 }
 
 // CutOff records that an instance has answered that it doesn't reach the service either.
-func (h *Helpers) CutOff(now time.Duration, a instance.Address, service string) {
+// zones is the number of zones.
+func (h *Helpers) CutOff(now time.Duration, a instance.Info, service string, zones int) {
 	h.excluded[exclusion{
-		instance: a,
+		instance: a.Address,
 		service:  service,
 	}] = now + exclusionTerm
-	h.cutOff[service]++
-	if h.cutOff[service] >= maxCutOff {
+	h.suspect[serviceInZone{
+		zone:    a.Zone,
+		service: service,
+	}] = now + exclusionTerm
+	list := append(h.cutOff[service], a)
+	h.cutOff[service] = list[max(len(list)-maxRemembered, 0):]
+	seen := map[string]struct{}{}
+	for _, m := range h.cutOff[service] {
+		seen[m.Zone] = struct{}{}
+	}
+	if len(h.cutOff[service]) >= maxCutOff && len(seen) >= min(zones, minCutOffZones) {
 		delete(h.cutOff, service)
 		h.helpless[service] = now + helplessTerm
 	}
 }
 
 // Choose returns the member through which a request to a service goes, and false if none
-// seems to reach it. Members of the own zone are preferred. Among those of equal preference
-// the request's key decides, so that requests spread over them.
-func (h *Helpers) Choose(now time.Duration, self instance.Info, members []instance.Info, service string, key uint64) (instance.Address, bool) {
+// seems to reach it. Members of the own zone are preferred, unless one of them has just
+// answered that it doesn't reach the service. Among those of equal preference the request's
+// key decides, so that requests spread over them.
+func (h *Helpers) Choose(now time.Duration, self instance.Info, members []instance.Info, service string, key uint64) (instance.Info, bool) {
 	if now < h.helpless[service] {
-		return "", false
+		return instance.Info{}, false
 	}
 	var best instance.Info
 	var bestScore uint64
+	bestRank := 0
 	for _, m := range members {
 		if m.Address == self.Address || h.isExcluded(now, m.Address, service) {
 			continue
 		}
+		rank := h.rank(now, self, m, service)
 		score := instance.Score(key, m.Address)
-		nearer := m.Zone == self.Zone && best.Zone != self.Zone
-		farther := m.Zone != self.Zone && best.Zone == self.Zone
-		if best.Address == "" || nearer || !farther && score > bestScore {
-			best, bestScore = m, score
+		if best.Address == "" || rank < bestRank || rank == bestRank && score > bestScore {
+			best, bestScore, bestRank = m, score, rank
 		}
 	}
-	return best.Address, best.Address != ""
+	return best, best.Address != ""
+}
+
+// rank returns how much a member is preferred; less is better.
+func (h *Helpers) rank(now time.Duration, self, m instance.Info, service string) int {
+	rank := 0
+	if m.Zone != self.Zone {
+		rank = 1
+	}
+	if now < h.suspect[serviceInZone{zone: m.Zone, service: service}] {
+		rank += 2
+	}
+	return rank
 }
 
 // isExcluded reports whether an instance isn't to be chosen for a service.
@@ -135,5 +172,6 @@
 func (h *Helpers) Expire(now time.Duration) {
 	maps.DeleteFunc(h.reports, func(_ instance.Address, r timedReport) bool { return now >= r.expires })
 	maps.DeleteFunc(h.excluded, func(_ exclusion, until time.Duration) bool { return now >= until })
+	maps.DeleteFunc(h.suspect, func(_ serviceInZone, until time.Duration) bool { return now >= until })
 	maps.DeleteFunc(h.helpless, func(_ string, until time.Duration) bool { return now >= until })
 }
