--- a/pkg/link/monitor.go
+++ b/pkg/link/monitor.go
@@ -21,7 +21,7 @@
 	// resultTerm is how long the results of connecting are remembered after the last
 	// failure, unless the service is impaired.
 	resultTerm = 2 * time.Second
-	// fullStepPeriod is the time between two looks at all doubtful services.
+	// fullStepPeriod is the time between two looks at all services under examination.
 	fullStepPeriod = 50 * time.Millisecond
 	// clearedTerm is how long controls show that a service is reachable.
 	clearedTerm = 500 * time.Millisecond
@@ -121,9 +121,9 @@
 	names  []string
 	// services holds what is known of each service that requests were sent to.
 	services map[string]*service[R]
-	// doubtful holds the names of the services for which Step has something to do, and
+	// examined holds the names of the services for which Step has something to do, and
 	// urgent those for which it must not wait until nextFullStep.
-	doubtful     map[string]struct{}
+	examined     map[string]struct{}
 	urgent       map[string]struct{}
 	nextFullStep time.Duration
 	// contactBegan is the latest beginning of a connection to any target that was
@@ -140,12 +140,12 @@
 	contactBegan time.Duration
 	// contacts holds when each target was last connected to.
 	contacts map[string]time.Duration
-	// results holds the last result of connecting to each target since doubts began, at
-	// doubtedAt. failedAt is when connecting last failed.
-	results   map[string]result
-	doubtedAt time.Duration
-	failedAt  time.Duration
-	held      []Failure[R]
+	// results holds the last result of connecting to each target since examinedSince, when
+	// the examination of the service began. failedAt is when connecting last failed.
+	results       map[string]result
+	examinedSince time.Duration
+	failedAt      time.Duration
+	held          []Failure[R]
 	// questions holds what other instances were last asked and answered about a target.
 	questions map[string]question
 	// testing holds the targets of the tests that are running, and whether they are
@@ -197,7 +197,7 @@
 	return &Monitor[R]{
 		random:   random,
 		services: map[string]*service[R]{},
-		doubtful: map[string]struct{}{},
+		examined: map[string]struct{}{},
 		urgent:   map[string]struct{}{},
 	}
 }
@@ -220,11 +220,11 @@
 	return s
 }
 
-// doubt notes that Step has to look at a service.
-func (m *Monitor[R]) doubt(now time.Duration, name string) {
-	if _, ok := m.doubtful[name]; !ok {
-		m.doubtful[name] = struct{}{}
-		m.services[name].doubtedAt = now
+// startExamination notes that Step has to look at a service.
+func (m *Monitor[R]) startExamination(now time.Duration, name string) {
+	if _, ok := m.examined[name]; !ok {
+		m.examined[name] = struct{}{}
+		m.services[name].examinedSince = now
 	}
 	m.urgent[name] = struct{}{}
 }
@@ -237,14 +237,14 @@
 		return
 	}
 	s.held = append(s.held, f)
-	m.doubt(f.At, f.Service)
+	m.startExamination(f.At, f.Service)
 }
 
 // ConnectFailed records that no connection to a target was established. began is when
 // connecting began.
 func (m *Monitor[R]) ConnectFailed(now, began time.Duration, name, target string) {
 	s := m.service(name)
-	m.doubt(now, name)
+	m.startExamination(now, name)
 	s.record(target, result{
 		began: began,
 		at:    now,
@@ -260,7 +260,7 @@
 	m.contactBegan = max(m.contactBegan, began)
 	m.contactAt = now
 	s.contact(now, target)
-	if _, ok := m.doubtful[name]; !ok || began < s.doubtedAt {
+	if _, ok := m.examined[name]; !ok || began < s.examinedSince {
 		return
 	}
 	m.urgent[name] = struct{}{}
@@ -389,7 +389,7 @@
 // Impaired returns the names of the services to which most links are lost, sorted.
 func (m *Monitor[R]) Impaired() []string {
 	var names []string
-	for name := range m.doubtful {
+	for name := range m.examined {
 		if m.services[name].impaired {
 			names = append(names, name)
 		}
@@ -403,7 +403,7 @@
 func (m *Monitor[R]) AllLost() bool {
 	lost := 0
 	var lostAt time.Duration
-	for name := range m.doubtful {
+	for name := range m.examined {
 		if s := m.services[name]; s.impaired && s.connected == 0 {
 			lost++
 			lostAt = max(lostAt, s.impairedAt)
--- a/pkg/link/step.go
+++ b/pkg/link/step.go
@@ -28,9 +28,9 @@
 		m.testLost(targets)
 	}
 	for _, name := range names {
-		if _, ok := m.doubtful[name]; ok {
+		if _, ok := m.examined[name]; ok {
 			m.settleHeld(now, name, allLost)
-			m.endDoubts(now, name)
+			m.endExamination(now, name)
 		}
 	}
 	actions := m.pending
@@ -38,18 +38,18 @@
 	return actions
 }
 
-// due returns the services to look at now: all doubtful ones from time to time, and else
+// due returns the services to look at now: all under examination from time to time, and else
 // those for which something has happened or is undecided.
 func (m *Monitor[R]) due(now time.Duration) []string {
 	set := m.urgent
 	if now >= m.nextFullStep {
 		m.nextFullStep = now + fullStepPeriod
-		set = m.doubtful
+		set = m.examined
 	}
 	names := slices.Sorted(maps.Keys(set))
 	clear(m.urgent)
 	return slices.DeleteFunc(names, func(name string) bool {
-		_, ok := m.doubtful[name]
+		_, ok := m.examined[name]
 		return !ok
 	})
 }
@@ -64,7 +64,7 @@
 		m.pending.Restored = append(m.pending.Restored, name)
 	}
 	delete(m.services, name)
-	delete(m.doubtful, name)
+	delete(m.examined, name)
 }
 
 // prune drops what is known of targets that are gone or leaving.
@@ -89,18 +89,18 @@
 	})
 }
 
-// examine judges a doubtful service by the results of connecting to its targets, and tests
+// examine judges a service by the results of connecting to its targets, and tests
 // more of them as needed.
 func (m *Monitor[R]) examine(now time.Duration, name string, list []Target, targets func(string) []Target) {
 	s := m.services[name]
 	if s.cleared && now >= s.clearedAt+clearedTerm {
 		s.reset()
-		s.doubtedAt = now
+		s.examinedSince = now
 	}
 	switch {
 	case s.impaired:
 		m.retest(now, name, list)
-	case s.suspected() && (s.failed >= minSuspects || now >= s.doubtedAt+TestDelay):
+	case s.suspected() && (s.failed >= minSuspects || now >= s.examinedSince+TestDelay):
 		m.judge(now, name, list, targets)
 	}
 	m.testHeld(name, list)
@@ -205,7 +205,7 @@
 	s.nextTestAt = now + retestPeriod
 	m.pending.Impaired = append(m.pending.Impaired, name)
 	m.askAboutFailed(now, name)
-	m.testOthers(s.doubtedAt, name, targets)
+	m.testOthers(s.examinedSince, name, targets)
 }
 
 // askAboutFailed asks about some targets that can't be connected to.
@@ -232,10 +232,10 @@
 	s.impaired = false
 	s.linkBack = false
 	s.restoredAt = now
-	s.doubtedAt = now
+	s.examinedSince = now
 	s.reset()
 	m.pending.Restored = append(m.pending.Restored, name)
-	for other := range m.doubtful {
+	for other := range m.examined {
 		m.services[other].nextTestAt = now
 	}
 }
@@ -302,14 +302,14 @@
 	}
 }
 
-// endDoubts forgets the results of a service that has turned out to be reachable, or to
+// endExamination forgets the results of a service that has turned out to be reachable, or to
 // which connecting has not failed for a while.
-func (m *Monitor[R]) endDoubts(now time.Duration, name string) {
+func (m *Monitor[R]) endExamination(now time.Duration, name string) {
 	s := m.services[name]
 	over := s.cleared || !s.suspected() && now >= s.failedAt+resultTerm
 	if over && !s.impaired && len(s.held) == 0 && len(s.testing) == 0 {
 		s.reset()
-		delete(m.doubtful, name)
+		delete(m.examined, name)
 	}
 }
 
@@ -321,9 +321,9 @@
 	s.cleared = false
 }
 
-// test asks for up to number tests of a service's targets, as controls. The first are those that haven't
-// been connected to since doubts began, are usable, and lie in zones that aren't tested
-// yet; then those whose last result is the oldest.
+// test asks for up to number tests of a service's targets, as controls. The first are those
+// that haven't been connected to during the examination, are usable, and lie in zones that
+// aren't tested yet; then those whose last result is the oldest.
 func (m *Monitor[R]) test(name string, list []Target, number int) {
 	s := m.service(name)
 	zones := map[string]int{}
