Run pipelined requests that may be repeated beside each other

What callers saw: a pipelined request was read only after the answer to the one before, so it waited for all before it. platform and serve now accept callers with package ingress. A request's time runs from its receipt; a refusal that waited for its turn says how long is left of its Retry-After; log lines say how many requests were ahead, the counter Ingress.Ahead how many ran ahead.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"dandelionmux/internal/dispatch"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/etcd"
+	"dandelionmux/internal/ingress"
 	"dandelionmux/internal/list"
 	"dandelionmux/internal/peer"
 	"dandelionmux/internal/settings"
@@ -64,7 +65,8 @@
 	dispatch  *dispatch.Dispatcher
 	handler   *entry.Handler
 	listeners listeners
-	servers   []*http.Server
+	callers   *ingress.Server
+	admin     *http.Server
 
 	// tasks are the goroutines that run until Close.
 	tasks  *errgroup.Group
@@ -233,8 +235,21 @@
 	d.spawn(func() { d.pollList(ctx) })
 	d.spawn(func() { d.pollReports(ctx) })
 	d.spawn(func() { d.servePeers() })
-	d.serve(d.handler, d.listeners.entry)
-	d.serve(d.adminHandler(), d.listeners.admin)
+	d.callers = ingress.New(d.handler,
+		ingress.WithHeaderTimeout(readHeaderTimeout),
+		ingress.WithIdleTimeout(idleTimeout),
+		ingress.WithMaxHeaderBytes(maxHeaderBytes),
+		ingress.WithLogger(d.logger),
+		ingress.WithMetrics(d.registry))
+	d.admin = &http.Server{
+		Handler:           d.adminHandler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo),
+	}
+	d.serve(d.callers, d.listeners.entry)
+	d.serve(d.admin, d.listeners.admin)
 }
 
 // spawn runs f in a goroutine that Close waits for.
@@ -252,15 +267,7 @@
 }
 
 // serve serves HTTP on a listener.
-func (d *Daemon) serve(handler http.Handler, l net.Listener) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo),
-	}
-	d.servers = append(d.servers, server)
+func (d *Daemon) serve(server interface{ Serve(net.Listener) error }, l net.Listener) {
 	d.spawn(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(wrap("serve", err))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -19,9 +19,9 @@
 // an error if requests were cut short.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	d.callers.Leave()
 	d.awaitBalancer(ctx)
-	// The first server is the entry's; see startTasks.
-	err := d.servers[0].Shutdown(ctx)
+	err := d.callers.Shutdown(ctx)
 	d.loop.Post(fleet.Leave{})
 	d.awaitHandover(ctx)
 	d.loop.Post(fleet.Stop{})
@@ -34,9 +34,8 @@
 
 // Close ends the instance at once and waits for its goroutines.
 func (d *Daemon) Close() {
-	for _, s := range d.servers {
-		_ = s.Close()
-	}
+	_ = d.callers.Close()
+	_ = d.admin.Close()
 	d.cancel()
 	d.peers.Close()
 	_ = d.tasks.Wait()
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"dandelionmux/internal/forward"
+	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/target"
 )
@@ -287,7 +288,9 @@
 	defer a.finish(target.Cancelled)
 	if a.complete {
 		x.endClaim(a.response.StatusCode)
+		x.releasePermit("")
 	}
+	ingress.AwaitTurn(x.writer)
 	control := http.NewResponseController(x.writer)
 	_ = control.SetWriteDeadline(x.deadline.Add(writeSlack))
 	x.writeHead(a)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -12,16 +12,20 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/document"
 )
 
 // exchange is the state of one request and its answer.
 type exchange struct {
-	handler  *Handler
-	writer   http.ResponseWriter
-	request  *http.Request
-	id       string
-	began    time.Time
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	id      string
+	began   time.Time
+	// ahead is the number of earlier requests of the connection that weren't answered when
+	// this one started.
+	ahead    int
 	snapshot *Snapshot
 
 	// out is the request as it is sent to targets, without its body.
@@ -330,13 +334,17 @@
 // sent in part, refuse aborts the caller's connection instead, so that the answer
 // can't be taken for a complete one.
 func (x *exchange) refuse(r *Refusal) {
+	madeAt := time.Now()
+	if !x.headSent {
+		ingress.AwaitTurn(x.writer)
+	}
 	x.countRefusal(r)
 	x.logEnd("refused", r.Reason, r.statusFor(x.handler.dialect))
 	if x.headSent {
 		panic(http.ErrAbortHandler)
 	}
 	x.addRelayResult(r.Elsewhere && !r.MayHaveRun)
-	r.write(x.writer, x.handler.dialect)
+	r.after(time.Since(madeAt)).write(x.writer, x.handler.dialect)
 }
 
 // callerTimeout returns the timeout that the caller set, and whether it set a
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -14,6 +14,7 @@
 
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/forward"
+	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/keepalive"
 )
 
@@ -133,6 +134,17 @@
 	}
 }
 
+// Independent implements ingress.Handler: requests that may be repeated may run beside
+// others of their connection.
+func (h *Handler) Independent(r *http.Request) bool {
+	s := h.deps.Snapshots.Current()
+	if s.Index == nil {
+		return false
+	}
+	route := s.Index.Match(r.Host, r.URL.Path, r.Method)
+	return route != nil && route.MayRepeat(r.Method)
+}
+
 // newExchange returns the exchange of a request that has just arrived.
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{
@@ -143,6 +155,9 @@
 		began:    time.Now(),
 		snapshot: h.deps.Snapshots.Current(),
 	}
+	if arrival, ok := ingress.ArrivalOf(r.Context()); ok {
+		x.began, x.ahead = arrival.ReceivedAt, arrival.Ahead
+	}
 	if x.snapshot.Leaving {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -106,6 +106,7 @@
 		slog.Int("Attempts", len(x.triedTargets)),
 		slog.Int("Relays", x.relays),
 		slog.Bool("Relayed", x.relayed != nil),
+		slog.Int("Ahead", x.ahead),
 		slog.Duration("Took", time.Since(x.began)))
 }
 
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -78,6 +78,19 @@
 	return OutcomeNotRun
 }
 
+// minRetryAfter is the least Retry-After of a refusal that has waited for its turn.
+const minRetryAfter = 10 * time.Millisecond
+
+// after returns the refusal as it is true after a wait.
+func (r *Refusal) after(wait time.Duration) *Refusal {
+	if r.RetryAfter <= 0 {
+		return r
+	}
+	later := *r
+	later.RetryAfter = max(r.RetryAfter-wait, minRetryAfter)
+	return &later
+}
+
 // write sends the refusal to the caller.
 func (r *Refusal) write(w http.ResponseWriter, d Dialect) {
 	h := w.Header()
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +16,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/dispatch"
 	"dandelionmux/internal/entry"
+	"dandelionmux/internal/ingress"
 	"dandelionmux/internal/standin"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/placement"
@@ -49,7 +50,7 @@
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
 	admission  *fakeAdmission
-	server     *httptest.Server
+	server     *callerServer
 }
 
 func newTestEnv(t *testing.T, targets int) *testEnv {
@@ -97,17 +98,42 @@
 	e.document.Services = []document.Service{service}
 	e.dispatch = dispatch.New(func() time.Duration { return time.Since(e.began) })
 	e.publish()
-	e.server = httptest.NewServer(entry.New(entry.Dependencies{
+	e.server = serveCallers(t, entry.New(entry.Dependencies{
 		Snapshots:  e,
 		Admission:  e.admission,
 		Claims:     e.claims,
 		Dispatcher: e,
 		Quarantine: e.quarantine,
 	}))
-	t.Cleanup(e.server.Close)
 	return e
 }
 
+// callerServer serves callers as an instance does.
+type callerServer struct {
+	*ingress.Server
+	address string
+	client  *http.Client
+}
+
+func serveCallers(t *testing.T, h *entry.Handler) *callerServer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := &callerServer{
+		Server:  ingress.New(h),
+		address: l.Addr().String(),
+		client: &http.Client{
+			Transport: &http.Transport{},
+		},
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		s.client.CloseIdleConnections()
+		_ = s.Close()
+	})
+	return s
+}
+
 func routes() []document.Route {
 	return []document.Route{
 		{
@@ -249,13 +275,13 @@
 // call sends a request with the key of orchard.
 func (e *testEnv) call(method, path, body string, change ...func(*http.Request)) callResult {
 	e.t.Helper()
-	r, err := http.NewRequestWithContext(e.t.Context(), method, e.server.URL+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(e.t.Context(), method, "http://"+e.server.address+path, strings.NewReader(body))
 	is.New(e.t).NoErr(err)
 	r.Header.Set("X-Api-Key", key)
 	for _, f := range change {
 		f(r)
 	}
-	return do(e.server.Client(), r)
+	return do(e.server.client, r)
 }
 
 func do(client *http.Client, r *http.Request) callResult {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/forward"
+	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/quarantine"
@@ -52,6 +53,8 @@
 
 	datagrams  *net.UDPConn
 	listeners  []net.Listener
+	// callers serves the entry listener, servers the others.
+	callers    *ingress.Server
 	servers    []*http.Server
 	entry      *entry.Handler
 	peerClient *http.Client
@@ -208,7 +211,7 @@
 		entry.WithClient(forward.New(
 			forward.WithIdleTimeout(targetIdleTimeout),
 			forward.WithDialContext(g.connect))))
-	g.serve(entryListener, g.entry)
+	g.serveCallers()
 	g.serve(readyListener, http.HandlerFunc(g.serveReady))
 	g.serve(peerListener, http.HandlerFunc(g.servePeer))
 	g.serve(metricsListener, http.HandlerFunc(g.serveMetrics))
@@ -234,7 +237,18 @@
 	})
 }
 
-// serve serves a listener until its server is closed.
+// serveCallers serves the connections of callers until the server is closed.
+func (g *Gateway) serveCallers() {
+	g.callers = ingress.New(g.entry,
+		ingress.WithHeaderTimeout(readHeaderTimeout),
+		ingress.WithIdleTimeout(idleTimeout),
+		ingress.WithMaxHeaderBytes(maxHeaderBytes),
+		ingress.WithLogger(g.logger),
+		ingress.WithMetrics(g.registry))
+	g.goTask(func() { g.logServerEnd(entryListener, g.callers.Serve(g.listeners[entryListener])) })
+}
+
+// serve serves another listener until its server is closed.
 func (g *Gateway) serve(listener int, handler http.Handler) {
 	server := &http.Server{
 		Handler:           handler,
@@ -247,13 +261,16 @@
 		server.MaxHeaderBytes += relayHeaderBytes
 	}
 	g.servers = append(g.servers, server)
-	g.goTask(func() {
-		if err := server.Serve(g.listeners[listener]); !errors.Is(err, http.ErrServerClosed) {
-			g.logger.Error("server failed",
-				slog.String("Address", g.listeners[listener].Addr().String()),
-				slog.String("Error", err.Error()))
-		}
-	})
+	g.goTask(func() { g.logServerEnd(listener, server.Serve(g.listeners[listener])) })
+}
+
+// logServerEnd logs why a listener is no longer served, unless its server was closed.
+func (g *Gateway) logServerEnd(listener int, err error) {
+	if !errors.Is(err, http.ErrServerClosed) {
+		g.logger.Error("server failed",
+			slog.String("Address", g.listeners[listener].Addr().String()),
+			slog.String("Error", err.Error()))
+	}
 }
 
 // Times of the periodic work.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -72,6 +72,7 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.leaving.Store(true)
 	g.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	g.callers.Leave()
 	// keepMembership then revokes the lease, so that other instances stop sending
 	// decision requests here. The revocation takes much less time than the stop.
 	g.deregister()
@@ -91,7 +92,7 @@
 // shutdown waits for the requests of callers and for those that other instances sent. The
 // latter send no more, since the instance declines them.
 func (g *Gateway) shutdown(ctx context.Context) error {
-	if err := g.servers[entryListener].Shutdown(ctx); err != nil {
+	if err := g.callers.Shutdown(ctx); err != nil {
 		return err
 	}
 	for g.entry.RelayedRequests() > 0 {
@@ -108,6 +109,7 @@
 // instance's goroutines.
 func (g *Gateway) Close() {
 	g.cancel()
+	_ = g.callers.Close()
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
