Find targets that have stopped answering by what a whole zone sees

Cause: a timeout ejects a target only at the instance that saw it, so with 40 instances each loses requests of its own; reads wait for three times their route's mean.

Now each request in flight adds evidence by its age, each answer takes some away (a log-likelihood ratio with a floor at zero); instances tell it to their zone with the load reports. A target with enough of it is ejected, one instance of the zone tells the others, and reads in flight there are retried at once. Ages don't grow while the own links are lost, while the process stands still, or while requests wait for slots. A refused retry is asked for again every half second. Choices take the least loaded of three, with the evidence counted as load.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -156,6 +156,10 @@
 // decides.
 func (s *slot) OverdueAfter() time.Duration { return 0 }
 
+// OnUnresponsive implements entry.Slot. Nothing is known that would make an answer overdue
+// earlier.
+func (s *slot) OnUnresponsive(func()) {}
+
 // MaySend implements entry.Slot.
 func (s *slot) MaySend() bool { return s.Pick.MaySend(s.service.dispatcher.clock()) }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,6 +31,9 @@
 	// of a repeatable request may take, so that time for another attempt remains
 	// if the target hangs.
 	firstAttemptPercent = 60
+	// overduePeriod is the time between two requests for a retry of an attempt whose
+	// answer is overdue.
+	overduePeriod = 500 * time.Millisecond
 )
 
 // attemptOutcome is the result of an attempt: usableAnswer or failedAttempt.
@@ -209,7 +213,9 @@
 	// context.
 	ctx, cancel := x.attemptContext(ctx, n, slot.OverdueAfter())
 	if wait := slot.OverdueAfter(); wait > 0 && x.repeatable && x.sentAttempts+1 < x.maxSentAttempts() {
-		cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
+		var overdue func()
+		overdue, cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
+		slot.OnUnresponsive(overdue)
 	}
 	p := &placedAttempt{
 		exchange: x,
@@ -252,12 +258,17 @@
 	return context.WithDeadline(ctx, limit)
 }
 
-// cancelWhenOverdue cancels attempt n after wait, if a retry that replaces it is
-// granted. Otherwise the attempt continues, since its answer may still arrive. An
-// instance that is leaving cancels no attempt that a target may be working on. The
-// returned function stops the timer and cancels the attempt.
-func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) context.CancelFunc {
-	timer := time.AfterFunc(wait, func() {
+// cancelWhenOverdue cancels attempt n after wait, or earlier when overdue is called, if a
+// retry that replaces it is granted. Otherwise the attempt continues, since its answer may
+// still arrive, and the retry is asked for again every overduePeriod. An instance that is
+// leaving cancels no attempt that a target may be working on. stop stops the timer and
+// cancels the attempt.
+func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) (overdue func(), stop context.CancelFunc) {
+	var mu sync.Mutex // one request for a retry at a time
+	var timer *time.Timer
+	overdue = func() {
+		mu.Lock()
+		defer mu.Unlock()
 		if x.handler.deps.Snapshots.Current().Leaving || ctx.Err() != nil {
 			return
 		}
@@ -268,11 +279,16 @@
 		}) {
 			x.retryGranted.Store(true)
 			cancel()
+			return
 		}
-	})
-	return func() {
-		timer.Stop()
+		timer.Reset(overduePeriod)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(wait, overdue)
+	return overdue, func() {
 		cancel()
+		timer.Stop()
 	}
 }
 
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -122,6 +122,9 @@
 	// answer before it is retried at another target. If it is zero, the handler
 	// decides.
 	OverdueAfter() time.Duration
+	// OnUnresponsive has f called, once and in a goroutine of its own, if the answer is
+	// overdue earlier because the target seems to have stopped answering.
+	OnUnresponsive(f func())
 	// MaySend reports whether the target still takes the attempt. It is called just
 	// before the first byte is sent.
 	MaySend() bool
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -441,3 +441,44 @@
 		})
 	}
 }
+
+// Guards against a read that waits to its deadline for a target that has stopped answering:
+// because a retry was refused once, or because others have found that out earlier.
+func TestReadLeavesUnresponsiveTarget(t *testing.T) {
+	tests := []struct {
+		name     string
+		overdue  *overdueSettings
+		refusals int64
+	}{
+		{
+			name: "others have found out",
+			overdue: &overdueSettings{
+				wait:         timeout,
+				granted:      true,
+				unresponsive: 50 * time.Millisecond,
+			},
+		},
+		{
+			name: "a retry was refused before",
+			overdue: &overdueSettings{
+				wait:    50 * time.Millisecond,
+				granted: true,
+			},
+			refusals: 2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnv(t, 2)
+			tt.overdue.refusals.Store(tt.refusals)
+			env.overdue = tt.overdue
+			env.targets[0].SetFaults(standin.TargetFaults{Hang: true})
+			for range 4 {
+				env.overdue.refusals.Store(tt.refusals)
+				is.Equal(env.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -193,15 +193,16 @@
 		return slot, err
 	}
 	return overdueSlot{
-		Slot: slot,
-		wait: e.overdue.wait,
+		Slot:         slot,
+		wait:         e.overdue.wait,
+		unresponsive: e.overdue.unresponsive,
 	}, nil
 }
 
 // Retry implements entry.Dispatcher.
 func (e *testEnv) Retry(ctx context.Context, service string, failed retry.Attempt) bool {
 	if e.overdue != nil {
-		return e.overdue.granted
+		return e.overdue.granted && e.overdue.refusals.Add(-1) < 0
 	}
 	return e.dispatch.Retry(ctx, service, failed)
 }
@@ -211,12 +212,24 @@
 type overdueSettings struct {
 	wait    time.Duration
 	granted bool
+	// refusals is how many retries are refused before.
+	refusals atomic.Int64
+	// unresponsive is when targets seem to have stopped answering; never if zero.
+	unresponsive time.Duration
 }
 
 // overdueSlot is a slot whose answer is overdue after wait.
 type overdueSlot struct {
 	entry.Slot
-	wait time.Duration
+	wait         time.Duration
+	unresponsive time.Duration
+}
+
+// OnUnresponsive implements entry.Slot.
+func (s overdueSlot) OnUnresponsive(f func()) {
+	if s.unresponsive > 0 {
+		time.AfterFunc(s.unresponsive, f)
+	}
 }
 
 // restingSlot is a slot at a target that takes no request any more.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/link"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/quarantine"
@@ -42,6 +43,7 @@
 	name      string
 	table     *outlier.Table
 	latencies *outlier.Latencies
+	inFlight  inFlight
 	// newRequests counts the requests begun since countingSince, for the next decision
 	// request about a retry. countingSince is when that count was last sent or restarted.
 	newRequests   int
@@ -107,6 +109,7 @@
 		incarnation:     st.targets.Incarnation(chosen.Name),
 		first:           !request.Counted,
 		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
+		expected:        s.latencies.Expected(request.Route.Name, request.Route.Objective),
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
@@ -208,6 +211,12 @@
 	first bool
 	// permit is that of the request, or nil.
 	permit *permit
+	// pending is the attempt as the table sees it, and expected how long its answer should
+	// take. onUnresponsive is called if the target seems to have stopped answering. They
+	// are guarded by localState.mu.
+	pending        *outlier.Pending
+	expected       time.Duration
+	onUnresponsive func()
 	// inUse is the number of requests running at the target at that time, including
 	// this one.
 	inUse int
@@ -216,13 +225,17 @@
 // start counts the attempt and begins to wait for its answer.
 func (sl *slot) start() {
 	g := sl.gateway
-	if sl.first {
-		g.state.withLock(func() {
-			if s := g.state.services[sl.service]; s != nil {
-				s.countRequest(boot.Now(), g.settings.RetryWindow)
-			}
-		})
-	}
+	g.state.withLock(func() {
+		s := g.state.services[sl.service]
+		if s == nil {
+			return
+		}
+		if sl.first {
+			s.countRequest(boot.Now(), g.settings.RetryWindow)
+		}
+		sl.pending = s.table.Begin(sl.target.Name, sl.expected)
+		s.inFlight.add(sl)
+	})
 	sl.began = boot.Now()
 	sl.timer = time.AfterFunc(sl.responseTimeout, sl.recordOverdue)
 }
@@ -311,6 +324,10 @@
 	notify := false
 	g.state.withLock(func() {
 		s := g.state.services[sl.service]
+		if s != nil && sl.pending != nil {
+			s.inFlight.remove(sl)
+			s.table.End(sl.pending, ending(e, g.state.links.State(sl.service)))
+		}
 		switch {
 		case s == nil:
 		case held:
@@ -332,6 +349,19 @@
 	}
 }
 
+// ending returns what the end of an attempt says about whether its target answers, given
+// the state of the links to its service.
+func ending(e entry.AttemptResult, links link.State) outlier.Ending {
+	switch {
+	case e.Outcome == target.Refused, e.LostConnection && links != link.Reachable:
+		return outlier.Withdrawn
+	case e.Outcome == target.TimedOut, e.Outcome == target.Cancelled:
+		return outlier.GivenUp
+	default:
+		return outlier.Answered
+	}
+}
+
 // recordRest records that the target wants no requests from this instance for a time.
 func (sl *slot) recordRest(rest time.Duration) {
 	g := sl.gateway
@@ -521,10 +551,18 @@
 	now := boot.Now()
 	ejected := false
 	g.state.withLock(func() {
-		if s := g.state.services[m.Service]; s != nil {
+		s := g.state.services[m.Service]
+		switch {
+		case s == nil:
+			return
+		case m.Unresponsive:
+			if s.table.ReceiveUnresponsive(now, m.Target) {
+				s.inFlight.notify(m.Target)
+			}
+		default:
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
-			ejected = s.table.Ejected(now, m.Target)
 		}
+		ejected = s.table.Ejected(now, m.Target)
 	})
 	if m.Suspect != (quarantine.Fingerprint{}) {
 		g.handleSuspect(m)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,8 @@
 	// dialTarget establishes connections to targets.
 	dialTarget forward.DialContext
 
-	datagrams  *net.UDPConn
-	listeners  []net.Listener
+	datagrams *net.UDPConn
+	listeners []net.Listener
 	// callers serves the entry listener, servers the others.
 	callers    *ingress.Server
 	servers    []*http.Server
@@ -294,6 +294,7 @@
 		if n%loanRequestTicks == 0 {
 			g.sendLoanRequests()
 		}
+		g.findUnresponsive(boot.Now())
 		g.sendReports(boot.Now())
 		g.stepLinks()
 		g.reportLinks(boot.Now())
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -59,6 +59,9 @@
 	// Suspect is the fingerprint of the request whose connection to the target ended while
 	// it ran, or zero.
 	Suspect quarantine.Fingerprint
+	// Unresponsive is set if the target seems to have stopped answering, by what all
+	// instances of the sender's zone have seen.
+	Unresponsive bool
 	// Forward tells the receiver to forward the report to the other instances of its
 	// zone.
 	Forward bool
@@ -134,7 +137,7 @@
 
 // loadOverheadBytes is the size of a targetLoad in a datagram without its names: tags,
 // lengths and the count.
-const loadOverheadBytes = 12
+const loadOverheadBytes = 16
 
 // splitLoads spreads loads over as many reports as are needed for each to fit into a
 // datagram. It returns at least one report.
@@ -208,8 +211,9 @@
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
 // instance address or a zone, fieldAmount a fraction in parts per million, a number of
-// retries or a limit per 1000 s, fieldGranted whether a target names a limit or an instance
-// reaches no service, fieldNumber a time in nanoseconds or a number of requests, fieldOver an age, and
+// retries or a limit per 1000 s, fieldGranted whether a target names a limit or is
+// unresponsive, or an instance reaches no service, fieldNumber a time in nanoseconds, a number
+// of requests or, zigzag encoded, evidence in hundredths, fieldOver an age, and
 // fieldForward, in an item of loanRequests, the flag FleetKeeper. fieldRetryAfter and
 // fieldOver are in milliseconds.
 const (
@@ -233,6 +237,9 @@
 // integer.
 const partsPerMillion = 1e6
 
+// evidenceUnits is the factor by which evidence is multiplied to be sent as an integer.
+const evidenceUnits = 100
+
 // encodeDecisionRequest returns the wire form of a decision request.
 func encodeDecisionRequest(m decisionRequest) []byte {
 	b := appendNumber(nil, fieldType, decisionRequestType)
@@ -290,13 +297,20 @@
 		if m.Suspect != (quarantine.Fingerprint{}) {
 			b = appendText(b, fieldSuspect, string(m.Suspect[:]))
 		}
+		if m.Unresponsive {
+			b = appendNumber(b, fieldGranted, protowire.EncodeBool(true))
+		}
 		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	case loadReport:
 		b := appendNumber(nil, fieldType, loadReportType)
 		for _, l := range m.Loads {
 			item := appendText(nil, fieldService, l.Service)
 			item = appendText(item, fieldName, l.Target)
-			b = appendText(b, fieldItem, string(appendNumber(item, fieldAmount, uint64(l.Running))))
+			item = appendNumber(item, fieldAmount, uint64(l.Running))
+			if evidence := int64(math.Round(l.Evidence * evidenceUnits)); evidence != 0 {
+				item = appendNumber(item, fieldNumber, protowire.EncodeZigZag(evidence))
+			}
+			b = appendText(b, fieldItem, string(item))
 		}
 		return appendAge(b, m.Age)
 	case retryReport:
@@ -431,10 +445,11 @@
 		}, nil
 	case failureReportType:
 		m := failureReport{
-			Service: f.texts[fieldService],
-			Target:  f.texts[fieldName],
-			Outcome: target.Outcome(min(f.numbers[fieldOutcome], math.MaxUint8)),
-			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
+			Service:      f.texts[fieldService],
+			Target:       f.texts[fieldName],
+			Outcome:      target.Outcome(min(f.numbers[fieldOutcome], math.MaxUint8)),
+			Unresponsive: protowire.DecodeBool(f.numbers[fieldGranted]),
+			Forward:      protowire.DecodeBool(f.numbers[fieldForward]),
 		}
 		copy(m.Suspect[:], f.texts[fieldSuspect])
 		return m, nil
@@ -494,8 +509,9 @@
 		m.Loads = append(m.Loads, targetLoad{
 			Service: item.texts[fieldService],
 			Load: outlier.Load{
-				Target:  item.texts[fieldName],
-				Running: int(min(item.numbers[fieldAmount], math.MaxInt16)),
+				Target:   item.texts[fieldName],
+				Running:  int(min(item.numbers[fieldAmount], math.MaxInt16)),
+				Evidence: float64(protowire.DecodeZigZag(item.numbers[fieldNumber])) / evidenceUnits,
 			},
 		})
 	}
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -50,6 +50,31 @@
 				},
 			},
 		},
+		{
+			name: "failure report of an unresponsive target",
+			m: failureReport{
+				Service:      "desk",
+				Target:       "desk-1",
+				Outcome:      target.TimedOut,
+				Unresponsive: true,
+			},
+		},
+		{
+			name: "load report with evidence",
+			m: loadReport{
+				Loads: []targetLoad{
+					{
+						Service: "desk",
+						Load: outlier.Load{
+							Target:   "desk-1",
+							Running:  2,
+							Evidence: -1.39,
+						},
+					},
+				},
+				Age: time.Second,
+			},
+		},
 		{
 			name: "failure report with a suspect",
 			m: failureReport{
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -360,6 +360,7 @@
 				name:      name,
 				table:     outlier.New(st.gateway.settings.Zone, newRandom()),
 				latencies: outlier.NewLatencies(),
+				inFlight:  inFlight{},
 			}
 			st.services[name].table.Update(now, list)
 		}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
 // maxDiscardBytes is how much of a body that the handler hasn't read is read, so that the
@@ -75,5 +77,5 @@
 		n, _ := b.read(buffer[:min(len(buffer), left)])
 		left -= n
 	}
-	return b.err == io.EOF
+	return errors.Is(b.err, io.EOF)
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Arrival tells how a request reached the server.
@@ -94,7 +96,11 @@
 // callHandler reports whether the handler has returned normally.
 func (x *exchange) callHandler() (ok bool) {
 	defer func() {
-		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+		cause := recover()
+		if err, aborted := cause.(error); aborted && errors.Is(err, http.ErrAbortHandler) {
+			return
+		}
+		if cause != nil {
 			x.conn.logPanic(x.request.Method, cause)
 		}
 	}()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -600,7 +600,7 @@
 type handlerFunc func(w http.ResponseWriter, r *http.Request)
 
 func (f handlerFunc) ServeHTTP(w http.ResponseWriter, r *http.Request) { f(w, r) }
-func (f handlerFunc) Independent(*http.Request) bool                    { return true }
+func (f handlerFunc) Independent(*http.Request) bool                   { return true }
 
 // Guards against a time limit that begins only when a request's turn has come.
 func TestTimeOfARequestBeginsWithItsReceipt(t *testing.T) {
--- a/pkg/outlier/latencies.go
+++ b/pkg/outlier/latencies.go
@@ -70,6 +70,12 @@
 	return max(timeoutFactor*m.mean, minTimeout)
 }
 
+// Expected returns how long an answer on the route is expected to take, for the evidence
+// that a target has stopped answering.
+func (l *Latencies) Expected(route string, objective time.Duration) time.Duration {
+	return l.ResponseTimeout(route, objective) / timeoutFactor
+}
+
 // EffectiveOutcome returns the outcome to record for a target. A request that timed
 // out before the route's response timeout had passed is returned as Cancelled,
 // because its own short deadline says nothing about the target.
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,9 @@
 	// they have just failed. If so many fail, the cause may be overload, which using
 	// fewer targets would make worse.
 	minUsablePercent = 20
+	// maxEjectedPercent is the most percentage of the targets that are ejected before none
+	// is ejected for late answers or errors any more.
+	maxEjectedPercent = 50
 	// shedPause is how long a target gets no requests after it has shed one.
 	shedPause = 300 * time.Millisecond
 	// errorWindow is how long a server error, a truncated answer or a timeout counts.
@@ -61,6 +65,10 @@
 	// those and the timeouts that others reported, within errorWindow, oldest first. Those
 	// of targets that were ejected meanwhile are included.
 	errors []targetError
+	// pending holds the requests in flight, and some that have ended since the last step,
+	// at steppedAt.
+	pending   []*Pending
+	steppedAt time.Duration
 }
 
 // targetError is a server error, a truncated answer or a timeout of a target.
@@ -96,6 +104,11 @@
 	restUntil time.Duration
 	// errorCount is the number of the target's entries in Table.errors.
 	errorCount int
+	// evidence says how likely the target has stopped answering, by what this instance and
+	// others of its zone have seen. unreported is this instance's part of it that hasn't
+	// been reported.
+	evidence   float64
+	unreported float64
 }
 
 // peerLoad is the number of requests that another instance had in flight. It
@@ -105,10 +118,14 @@
 	expires time.Duration
 }
 
-// Load is the number of requests that an instance has in flight at a target.
+// Load is the number of requests that an instance has in flight at a target, and what it has
+// seen of the target's answers since its last report.
 type Load struct {
 	Target  string
 	Running int
+	// Evidence is by how much likelier it has become that the target has stopped
+	// answering, in nats.
+	Evidence float64
 }
 
 // Request holds the properties of a request that affect the choice of a target.
@@ -311,9 +328,11 @@
 // lessLoaded returns the less loaded of two randomly chosen candidates.
 func (t *Table) lessLoaded(now time.Duration, candidates []*targetState) *targetState {
 	a := candidates[t.random.IntN(len(candidates))]
-	b := candidates[t.random.IntN(len(candidates))]
-	if b.load(now) < a.load(now) {
-		return b
+	for range 2 {
+		b := candidates[t.random.IntN(len(candidates))]
+		if b.load(now) < a.load(now) {
+			a = b
+		}
 	}
 	return a
 }
@@ -333,7 +352,7 @@
 // load returns the fraction of the target's slots that would be in use with one
 // more request. It is doubled while the target warms up.
 func (s *targetState) load(now time.Duration) float64 {
-	load := float64(s.inUse(now)+1) / float64(max(s.Slots, 1))
+	load := (float64(s.inUse(now)+1) + s.evidence) / float64(max(s.Slots, 1))
 	if now < s.warmUntil {
 		return 2 * load
 	}
@@ -346,12 +365,13 @@
 func (t *Table) Loads() []Load {
 	var list []Load
 	for _, s := range t.order {
-		if s.running > 0 || s.reported > 0 {
+		if s.running > 0 || s.reported > 0 || math.Abs(s.unreported) >= minReportedEvidence {
 			list = append(list, Load{
-				Target:  s.Name,
-				Running: s.running,
+				Target:   s.Name,
+				Running:  s.running,
+				Evidence: s.unreported,
 			})
-			s.reported = s.running
+			s.reported, s.unreported = s.running, 0
 		}
 	}
 	return list
@@ -364,6 +384,7 @@
 	if s == nil {
 		return
 	}
+	t.addEvidence(s, l.Evidence)
 	if s.peerLoads == nil {
 		s.peerLoads = map[string]peerLoad{}
 	}
@@ -431,6 +452,9 @@
 		s.eject(now, true)
 		return !ejected
 	case target.TimedOut:
+		if !t.mayEject(now, s) {
+			return false
+		}
 		s.eject(now, false)
 		return !ejected
 	case target.Refused:
@@ -457,11 +481,31 @@
 	})
 	s.errorCount++
 	mean := float64(len(t.errors)-s.errorCount) / float64(max(len(t.order)-1, 1))
-	if float64(s.errorCount) >= minErrors+errorFactor*mean {
+	if float64(s.errorCount) >= minErrors+errorFactor*mean && t.mayEject(now, s) {
 		s.eject(now, false)
 	}
 }
 
+// mayEject reports whether a target may be ejected for late answers or errors, too. If
+// most others have been, the cause is likelier to be their load, which using fewer of them
+// makes worse. An ejection may always be prolonged.
+func (t *Table) mayEject(now time.Duration, candidate *targetState) bool {
+	if now < candidate.ejectedUntil {
+		return true
+	}
+	all, out := 0, 1
+	for _, s := range t.order {
+		if s.Leaving {
+			continue
+		}
+		all++
+		if now < s.ejectedUntil {
+			out++
+		}
+	}
+	return out*100 <= all*maxEjectedPercent
+}
+
 // dropOldErrors removes the errors that are older than errorWindow.
 func (t *Table) dropOldErrors(now time.Duration) {
 	old := 0
