Tell all instances of an unresponsive target whoever of a zone finds it

What callers saw: reads that waited three seconds for a target that their instance had ejected already, or that another one of the zone had found out about. Cause: only the zone's reporter told the fleet, and only by its own evidence, which lacked what others had not reported before they ejected; and reads in flight were retried only where the target was still in use.

Now the first that finds out tells the reporter, which tells the fleet once a second at most; reads in flight are retried at every verdict; requests for which a target was ejected count no more.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,6 +44,9 @@
 	table     *outlier.Table
 	latencies *outlier.Latencies
 	inFlight  inFlight
+	// unresponsiveReportAt holds when it may next be reported of a target that it seems to
+	// have stopped answering.
+	unresponsiveReportAt map[string]time.Duration
 	// newRequests counts the requests begun since countingSince, for the next decision
 	// request about a retry. countingSince is when that count was last sent or restarted.
 	newRequests   int
@@ -552,18 +555,17 @@
 	ejected := false
 	g.state.withLock(func() {
 		s := g.state.services[m.Service]
-		switch {
-		case s == nil:
+		if s == nil {
 			return
-		case m.Unresponsive:
-			if s.table.ReceiveUnresponsive(now, m.Target) {
-				s.inFlight.notify(m.Target)
-			}
-		default:
+		}
+		if !m.Unresponsive {
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
 		}
 		ejected = s.table.Ejected(now, m.Target)
 	})
+	if m.Unresponsive {
+		g.handleUnresponsive(now, m)
+	}
 	if m.Suspect != (quarantine.Fingerprint{}) {
 		g.handleSuspect(m)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -353,6 +353,7 @@
 	st.targetLimits.Retain(st.targets.Has)
 	for name, s := range st.services {
 		s.table.Update(now, services[name])
+		maps.DeleteFunc(s.unresponsiveReportAt, func(_ string, at time.Duration) bool { return now >= at })
 	}
 	for name, list := range services {
 		if st.services[name] == nil {
@@ -361,6 +362,8 @@
 				table:     outlier.New(st.gateway.settings.Zone, newRandom()),
 				latencies: outlier.NewLatencies(),
 				inFlight:  inFlight{},
+
+				unresponsiveReportAt: map[string]time.Duration{},
 			}
 			st.services[name].table.Update(now, list)
 		}
--- a/internal/gateway/unresponsive_test.go
+++ b/internal/gateway/unresponsive_test.go
@@ -19,9 +19,10 @@
 func TestUnresponsiveTargetIsAvoidedByAllInstances(t *testing.T) {
 	const (
 		// knownAfter is when all instances must know: routes without samples expect an
-		// answer within a third of three seconds, and several requests wait together.
+		// answer within a third of three seconds, and several writes wait together.
 		knownAfter = 2500 * time.Millisecond
-		readers    = 3
+		readers    = 6
+		writers    = 24
 	)
 	is := is.New(t)
 	f := newTestFleet(t, 2, 4)
@@ -34,8 +35,12 @@
 	var mu sync.Mutex
 	var longest time.Duration
 	var calls sync.WaitGroup
-	for n := range 4 * readers {
+	for n := range writers + readers {
 		for _, g := range f.instances[:2] {
+			if n < writers {
+				calls.Go(func() { f.exchange(g, http.MethodPost, "/one/1", fmt.Sprint("w", n)) })
+				continue
+			}
 			calls.Go(func() {
 				out := f.exchange(g, http.MethodGet, "/one/1", fmt.Sprint(n))
 				mu.Lock()
--- a/pkg/outlier/evidence.go
+++ b/pkg/outlier/evidence.go
@@ -42,8 +42,10 @@
 	// flight.
 	mean time.Duration
 	age  time.Duration
-	// evidence is what the request has contributed so far.
+	// evidence is what the request has contributed so far. It contributes nothing any more
+	// once it is settled: its target has been ejected for it.
 	evidence float64
+	settled  bool
 	ended    bool
 }
 
@@ -84,6 +86,9 @@
 		return
 	}
 	p.ended = true
+	if p.settled {
+		return
+	}
 	change := 0.0
 	switch e {
 	case Answered:
@@ -121,6 +126,9 @@
 			continue
 		}
 		list = append(list, p)
+		if p.settled {
+			continue
+		}
 		p.age += time.Duration(float64(elapsed) * p.target.share(now))
 		evidence := 0.0
 		if reachable {
@@ -143,8 +151,7 @@
 	var ejected []string
 	for _, s := range t.order {
 		if t.unresponsive(now, s, (total-s.evidence)/float64(max(used-1, 1))) && t.mayEject(now, s) {
-			s.eject(now, false)
-			s.evidence = 0
+			t.ejectUnresponsive(now, s)
 			ejected = append(ejected, s.Name)
 		}
 	}
@@ -158,24 +165,30 @@
 }
 
 // ReceiveUnresponsive records that another instance has found a target to have stopped
-// answering. It reports whether the target was in use until then.
-func (t *Table) ReceiveUnresponsive(now time.Duration, name string) bool {
-	s := t.targets[name]
-	if s == nil || now < s.ejectedUntil {
-		return false
+// answering.
+func (t *Table) ReceiveUnresponsive(now time.Duration, name string) {
+	if s := t.targets[name]; s != nil {
+		t.ejectUnresponsive(now, s)
 	}
+}
+
+// ejectUnresponsive ejects a target. The evidence begins anew with the requests that it gets
+// from now on.
+func (t *Table) ejectUnresponsive(now time.Duration, s *targetState) {
 	s.eject(now, false)
 	s.evidence = 0
-	return true
+	for _, p := range t.pending {
+		if p.target == s {
+			p.settled = true
+		}
+	}
 }
 
 // unresponsive reports whether a target is to be ejected because it seems to have stopped
 // answering. others is the mean evidence of the other targets in use.
 func (t *Table) unresponsive(now time.Duration, s *targetState, others float64) bool {
 	switch {
-	case now < s.ejectedUntil:
-		return false
-	case now < s.probationUntil:
+	case now >= s.ejectedUntil && now < s.probationUntil:
 		return s.evidence >= probationEvidence+othersFactor*others
 	default:
 		return s.evidence >= ejectionEvidence+othersFactor*others
--- a/pkg/outlier/unresponsive_test.go
+++ b/pkg/outlier/unresponsive_test.go
@@ -341,6 +341,7 @@
 // target that has stopped answering. Three quarters of the requests that would be lost if
 // nobody avoided such targets are to be saved.
 func TestFleetAvoidsTargetsThatStopAnswering(t *testing.T) {
+	t.Parallel()
 	s := manyInstances()
 	withoutAvoiding := s.hungTargets * s.hungRequests * (1 - s.repeatable)
 	r := play(s)
@@ -364,6 +365,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			s := manyInstances()
 			s.hungTargets = 0
 			tt.change(&s)
