--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -15,6 +15,9 @@
 const (
 	minPause = 200 * time.Millisecond
 	maxPause = 1600 * time.Millisecond
+	// maxSubstitutePause is maxPause for the few instances of a zone that are to find out
+	// soon when the store answers again.
+	maxSubstitutePause = 400 * time.Millisecond
 )
 
 // backoff spaces calls to a store that does not answer. Its methods may be called
@@ -27,15 +30,15 @@
 	until time.Duration
 }
 
-// recordFailure doubles the mean pause, within its limits, and starts a pause.
-// Failures during a pause don't lengthen it.
-func (b *backoff) recordFailure(now time.Duration) {
+// recordFailure doubles the mean pause, up to most, and starts a pause. Failures during a
+// pause don't lengthen it.
+func (b *backoff) recordFailure(now, most time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now < b.until {
 		return
 	}
-	b.pause = min(max(2*b.pause, minPause), maxPause)
+	b.pause = min(max(2*b.pause, minPause), most)
 	b.until = now + b.pause/2 + rand.N(b.pause)
 }
 
--- a/internal/gateway/backoff_internal_test.go
+++ b/internal/gateway/backoff_internal_test.go
@@ -19,7 +19,7 @@
 				continue
 			}
 			calls++
-			b.recordFailure(now)
+			b.recordFailure(now, maxPause)
 		}
 	}
 	// Once the pause has grown there is at most one call in 0.8 s; a few more come before
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -284,6 +284,7 @@
 					},
 					registry: metrics.NewRegistry(),
 				}
+				g.state = newLocalState(g)
 				_, err := g.callStore(t.Context(), tt.call)
 				is.Equal(err != nil, failing)
 				name := "Store.Answered." + tt.want
@@ -473,7 +474,7 @@
 				peerClient: newPeerClient(),
 			}
 			defer g.peerClient.CloseIdleConnections()
-			got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), tt.after)
+			got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), tt.after, 0)
 			is.NoErr(err)
 			is.Equal(got, tt.want)
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,13 +59,19 @@
 	entry      *entry.Handler
 	peerClient *http.Client
 
-	state    *localState
-	backoff  backoff
-	pending  *pendingRequests
-	snapshot atomic.Pointer[entry.Snapshot]
-	leaving  atomic.Bool
+	state   *localState
+	backoff backoff
+	// discovery is how this run has learnt the members.
+	discovery *discovery
+	pending   *pendingRequests
+	snapshot  atomic.Pointer[entry.Snapshot]
+	leaving   atomic.Bool
 	// readingStore is set while the instance reads the store for its zone.
 	readingStore atomic.Bool
+	// copies are the last answers to followers, the next of which is replaced.
+	copyMu   sync.Mutex
+	copies   [2]encodedEntries
+	nextCopy int
 	// publishMu serialises changes of the snapshot.
 	publishMu sync.Mutex
 
@@ -114,6 +120,7 @@
 		},
 		dialTarget: new(net.Dialer).DialContext,
 		pending:    newPendingRequests(),
+		discovery:  newDiscovery(),
 		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedEntries),
 		peerClient: newPeerClient(),
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/pkg/mirror"
 	"dandelionmux/pkg/store"
 )
 
@@ -15,10 +16,10 @@
 const (
 	// memberLeaseTerm is the lease term of a member's key. An instance that died is
 	// found unresponsive much earlier, so this only bounds how long it stays listed.
-	memberLeaseTerm = 6 * time.Second
+	memberLeaseTerm = 9 * time.Second
 	// leaseRenewPeriod fits three renewals into a memberLeaseTerm, of which two may be
 	// lost.
-	leaseRenewPeriod = 1500 * time.Millisecond
+	leaseRenewPeriod = 2500 * time.Millisecond
 )
 
 // memberKey returns the store key of the instance's registration.
@@ -68,6 +69,7 @@
 	value, err := json.Marshal(memberValue{
 		Zone:        g.self.Zone,
 		Incarnation: g.self.Incarnation,
+		Capacity:    g.settings.Capacity,
 	})
 	if err != nil {
 		return registration{}, errors.Wrap(err, "encode member")
@@ -78,7 +80,10 @@
 // writeMember writes the instance's key, replacing what an earlier run may have left
 // there.
 func (g *Gateway) writeMember(ctx context.Context, granted store.Leased, value []byte) (registration, error) {
-	expected := g.memberVersion(ctx)
+	expected, err := g.awaitMemberList(ctx)
+	if err != nil {
+		return registration{}, err
+	}
 	for {
 		answer, err := g.callStore(ctx, store.Swap{
 			Key:      g.memberKey(),
@@ -98,6 +103,10 @@
 				slog.Int64("Lease", int64(granted.Lease)),
 				slog.Int64("Era", int64(granted.Era)),
 				slog.Int64("Counter", swapped.Current.Version))
+			g.discovery.setRegistered(mirror.Position{
+				Era:     swapped.Era,
+				Counter: swapped.Current.Version,
+			})
 			return registration{
 				lease:   granted.Lease,
 				era:     granted.Era,
@@ -108,31 +117,6 @@
 	}
 }
 
-// memberVersion returns the version of what an earlier run left under the instance's
-// key, or zero. It waits until the mirror holds the first list of the store, and returns
-// zero if ctx ends first.
-func (g *Gateway) memberVersion(ctx context.Context) int64 {
-	var changed chan struct{}
-	var version int64
-	known := false
-	for {
-		g.state.withLock(func() {
-			changed = g.state.mirrorChanged
-			known = !g.state.mirror.Empty()
-			e, _ := g.state.mirror.Entry(g.memberKey())
-			version = e.Version
-		})
-		if known {
-			return version
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return 0
-		}
-	}
-}
-
 // renewLease renews the lease. It returns no registration if the lease has expired, or if
 // the store was set back: then the lease may be gone, and another instance's by now.
 func (g *Gateway) renewLease(ctx context.Context, current registration) (registration, error) {
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"io"
 	"net"
@@ -20,9 +22,14 @@
 
 // Limits of copying a mirror.
 const (
-	// longPollTimeout is how long a reader waits for a change before it answers without
-	// one.
-	longPollTimeout = 500 * time.Millisecond
+	// longPollTimeout is how long an instance waits for a change or a new confirmation
+	// before it answers without one.
+	longPollTimeout = 800 * time.Millisecond
+	// takeoverTimeout is how long an instance that is to read the store next waits for its
+	// first confirmation before it answers that it has none.
+	takeoverTimeout = 400 * time.Millisecond
+	// minCompressedBytes is the least size of entries that are worth compressing.
+	minCompressedBytes = 4 << 10
 	// copyTimeout bounds the wait for a reader's answer. Instances have only a part of
 	// a CPU core and may stall for a while.
 	copyTimeout = longPollTimeout + 400*time.Millisecond
@@ -41,6 +48,9 @@
 	fieldConfirmed
 	fieldEntry
 	fieldEra
+	fieldHeld // in microseconds
+	fieldConfirmation
+	fieldCompressed // entries
 )
 
 // Field numbers of an entry of a mirrorCopy.
@@ -74,6 +84,29 @@
 	// Confirmed says that there was a confirming read. If not, ConfirmationAge has no
 	// meaning.
 	Confirmed bool
+	// Held is how long the request waited for the answer.
+	Held time.Duration
+	// Confirmation identifies the confirming read at the instance that answers; zero if it
+	// gives none.
+	Confirmation uint64
+}
+
+// copiedFrom is what the last answer of an instance says about its confirming read.
+type copiedFrom struct {
+	confirmation uint64
+}
+
+// errOutdated says that an instance has no recently confirmed content.
+var errOutdated = errors.New("no recently confirmed content")
+
+// encodedEntries are the entries of an answer in the form in which they are sent. Many
+// followers ask for the same.
+type encodedEntries struct {
+	after, at mirror.Position
+	full      bool
+	content   []byte
+	// compressed is content compressed, as a field; nil if that isn't worth it.
+	compressed []byte
 }
 
 // parsePosition decodes the position in the query of a request for a mirror.
@@ -94,112 +127,202 @@
 	}, nil
 }
 
-// serveMirror answers with the changes after a position. It waits until there are any,
-// up to longPollTimeout, and then answers with the newest confirmation alone. An
-// instance that does not read the store, or whose last confirming read is too old,
-// answers 503, so that followers choose another reader at once and no two instances
-// follow each other.
+// parseConfirmation decodes the confirmation that a follower knows; zero if it knows none.
+func parseConfirmation(query url.Values) uint64 {
+	known, err := strconv.ParseUint(query.Get("Known"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return known
+}
+
+// serveMirror answers with the changes after a position. It waits until there are any or the
+// mirror is confirmed anew, up to longPollTimeout. An instance whose last confirming read
+// is too old answers 503, so that followers choose another one, unless it is about to read
+// the store.
 func (g *Gateway) serveMirror(w http.ResponseWriter, r *http.Request) {
 	after, err := parsePosition(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	deadline := boot.Now() + longPollTimeout
+	known := parseConfirmation(r.URL.Query())
+	arrivedAt := boot.Now()
 	for {
-		now := boot.Now()
-		confirmedAt, confirmed := g.confirmedAt()
-		if !g.readingStore.Load() || !confirmed || now-confirmedAt > maxReaderConfirmationAge {
-			http.Error(w, "not reading the store, or last confirming read too old", http.StatusServiceUnavailable)
+		c, ready, changed := g.lookAtMirror(after, known, arrivedAt)
+		if ready {
+			g.answerMirror(w, r, after, c)
+			return
+		}
+		if changed == nil {
+			http.Error(w, errOutdated.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		if !g.awaitChange(r.Context(), after, min(deadline, confirmedAt+maxReaderConfirmationAge)-now) {
-			break
+		timeout := takeoverTimeout
+		if c.Confirmed {
+			timeout = longPollTimeout
+		}
+		timer := time.NewTimer(arrivedAt + timeout - boot.Now())
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-r.Context().Done():
+			timer.Stop()
+			return
 		}
+		timer.Stop()
 	}
-	_, _ = w.Write(encodeMirrorCopy(g.copyMirror(after)))
 }
 
-// awaitChange waits until the mirror changes or the time is over, and returns true. It
-// returns false if the mirror is already past the position, wait is not positive, or ctx
-// ends: the caller then answers.
-func (g *Gateway) awaitChange(ctx context.Context, after mirror.Position, wait time.Duration) bool {
-	var ahead bool
-	var changed chan struct{}
-	g.state.withLock(func() {
-		ahead = g.state.mirror.IsAfter(after)
-		changed = g.state.mirrorChanged
-	})
-	if ahead || wait <= 0 {
-		return false
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
+// lookAtMirror returns what a follower may be answered without the entries, and whether it
+// is to be answered now. If not, changed is closed when something has changed; it is nil if
+// the instance can't be followed. The answer's Confirmed says that the confirming read is
+// recent.
+func (g *Gateway) lookAtMirror(after mirror.Position, known uint64, arrivedAt time.Duration) (c mirrorCopy, ready bool, changed chan struct{}) {
+	st := g.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	now := boot.Now()
+	confirmedAt, confirmed := st.mirror.ConfirmedAt()
+	c = mirrorCopy{
+		ConfirmationAge: now - confirmedAt,
+		Confirmed:       confirmed && now-confirmedAt <= maxReaderConfirmationAge,
+		Held:            now - arrivedAt,
+		Confirmation:    uint64(max(confirmedAt.Microseconds(), 0)),
+	}
+	if c.Confirmed {
+		ready = st.mirror.IsAfter(after) || c.Confirmation != known || c.Held >= longPollTimeout
+		return c, ready, st.mirrorChanged
+	}
+	first := st.source.First(now)
+	if (first == "" || first == g.self.Address) && c.Held < takeoverTimeout && !g.leaving.Load() {
+		return c, false, st.mirrorChanged
+	}
+	return c, false, nil
 }
 
-// copyMirror returns what changed in the mirror after a position.
-func (g *Gateway) copyMirror(after mirror.Position) mirrorCopy {
-	var c mirrorCopy
-	g.state.withLock(func() {
-		confirmedAt, confirmed := g.state.mirror.ConfirmedAt()
-		c = mirrorCopy{
-			Delta:           g.state.mirror.Since(after),
-			ConfirmationAge: boot.Now() - confirmedAt,
-			Confirmed:       confirmed,
+// answerMirror sends what changed in the mirror after a position. The entries are encoded
+// once for all followers that are at the same position.
+func (g *Gateway) answerMirror(w http.ResponseWriter, r *http.Request, after mirror.Position, c mirrorCopy) {
+	e, err := g.encodeEntries(after)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	content := e.content
+	if e.compressed != nil && r.URL.Query().Get("Compressed") == "1" {
+		content = e.compressed
+	}
+	c.At, c.Full = e.at, e.full
+	_, _ = w.Write(append(encodeMirrorCopy(c), content...))
+}
+
+// encodeEntries returns the encoded entries that changed after a position.
+func (g *Gateway) encodeEntries(after mirror.Position) (encodedEntries, error) {
+	g.copyMu.Lock()
+	defer g.copyMu.Unlock()
+	var at mirror.Position
+	g.state.withLock(func() { at = g.state.mirror.Position() })
+	for _, e := range g.copies {
+		if e.after == after && e.at == at {
+			return e, nil
 		}
-	})
-	return c
+	}
+	var d mirror.Delta
+	g.state.withLock(func() { d = g.state.mirror.Since(after) })
+	e := encodedEntries{
+		after:   after,
+		at:      d.At,
+		full:    d.Full,
+		content: appendEntries(nil, d.Entries),
+	}
+	if after.Counter == 0 && len(e.content) >= minCompressedBytes {
+		compressed, err := compress(e.content)
+		if err != nil {
+			return encodedEntries{}, err
+		}
+		e.compressed = appendText(nil, fieldCompressed, string(compressed))
+	}
+	g.copies[g.nextCopy] = e
+	g.nextCopy = (g.nextCopy + 1) % len(g.copies)
+	return e, nil
+}
+
+// compress returns content compressed.
+func compress(content []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if _, err := w.Write(content); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return b.Bytes(), nil
 }
 
-// copyOnce requests the changes from a reader once and applies them. It returns an error
-// if the request fails, or, after applying the changes, if the reader's last confirming
+// decompress returns what compress was given, up to maxCopyBytes.
+func decompress(content []byte) ([]byte, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxCopyBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	return plain, nil
+}
+
+// copyOnce requests the changes from another instance once and applies them. It returns an
+// error if the request fails, or, after applying the changes, if the other's last confirming
 // read is too old.
-func (g *Gateway) copyOnce(ctx context.Context, reader instance.Address) error {
+func (g *Gateway) copyOnce(ctx context.Context, from instance.Address, last *copiedFrom) error {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	var after mirror.Position
 	g.state.withLock(func() { after = g.state.mirror.Position() })
 	sentAt := boot.Now()
-	c, err := g.requestMirror(ctx, reader, after)
+	c, err := g.requestMirror(ctx, from, after, last.confirmation)
 	if err != nil {
 		return err
 	}
+	last.confirmation = c.Confirmation
 	g.state.update(func(m *mirror.Mirror) []store.Entry {
 		changes := m.ApplyDelta(boot.Now(), c.Delta)
 		if c.Confirmed {
-			// The reader answered after the request was sent, so this time is no
-			// later than that of the reader's own confirming read.
-			m.ConfirmRead(sentAt-c.ConfirmationAge, c.At)
+			// The request arrived after it was sent, so this time is no later than that
+			// of the other's confirming read.
+			m.ConfirmRead(sentAt+min(c.Held, boot.Now()-sentAt)-c.ConfirmationAge, c.At)
 		}
 		return changes
 	})
 	if c.At.Era < after.Era {
-		return errors.Errorf("reader is in era %d, before %d", c.At.Era, after.Era)
+		return errors.Wrapf(errOutdated, "era %d, before %d", c.At.Era, after.Era)
 	}
 	if !c.Confirmed || c.ConfirmationAge > maxReaderConfirmationAge {
-		return errors.Errorf("reader's last confirming read is %s old, more than %s", c.ConfirmationAge, maxReaderConfirmationAge)
+		return errors.Wrapf(errOutdated, "confirmed %s ago, more than %s", c.ConfirmationAge, maxReaderConfirmationAge)
 	}
 	return nil
 }
 
-// requestMirror requests the changes after a position from a reader.
-func (g *Gateway) requestMirror(ctx context.Context, reader instance.Address, after mirror.Position) (mirrorCopy, error) {
+// requestMirror requests the changes after a position from another instance. known is the
+// confirmation that it gave last, or zero.
+func (g *Gateway) requestMirror(ctx context.Context, from instance.Address, after mirror.Position, known uint64) (mirrorCopy, error) {
 	query := url.Values{
 		"After": {strconv.FormatInt(after.Counter, 10)},
 	}
 	if after.Era > 0 {
 		query.Set("Era", strconv.FormatInt(int64(after.Era), 10))
 	}
+	if known > 0 {
+		query.Set("Known", strconv.FormatUint(known, 10))
+	}
+	if after.Counter == 0 {
+		query.Set("Compressed", "1")
+	}
 	u := url.URL{
 		Scheme:   "http",
-		Host:     string(reader),
+		Host:     string(from),
 		Path:     "/",
 		RawQuery: query.Encode(),
 	}
@@ -216,7 +339,11 @@
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "read mirror")
 	}
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return mirrorCopy{}, errors.Wrap(errOutdated, response.Status)
+	default:
 		return mirrorCopy{}, errors.Errorf("request mirror: %s", response.Status)
 	}
 	return decodeMirrorCopy(content)
@@ -230,7 +357,18 @@
 	b = appendNumber(b, fieldFull, protowire.EncodeBool(c.Full))
 	b = appendNumber(b, fieldAge, uint64(c.ConfirmationAge.Microseconds()))
 	b = appendNumber(b, fieldConfirmed, protowire.EncodeBool(c.Confirmed))
-	for _, e := range c.Entries {
+	if c.Held > 0 {
+		b = appendNumber(b, fieldHeld, uint64(c.Held.Microseconds()))
+	}
+	if c.Confirmation > 0 {
+		b = appendNumber(b, fieldConfirmation, c.Confirmation)
+	}
+	return appendEntries(b, c.Entries)
+}
+
+// appendEntries appends the wire form of entries.
+func appendEntries(b []byte, entries []store.Entry) []byte {
+	for _, e := range entries {
 		entry := appendText(nil, fieldKey, e.Key)
 		entry = appendText(entry, fieldValue, string(e.Value))
 		entry = appendNumber(entry, fieldVersion, uint64(e.Version))
@@ -254,16 +392,42 @@
 			c.ConfirmationAge = time.Duration(v) * time.Microsecond
 		case fieldConfirmed:
 			c.Confirmed = protowire.DecodeBool(v)
+		case fieldHeld:
+			c.Held = time.Duration(v) * time.Microsecond
+		case fieldConfirmation:
+			c.Confirmation = v
 		case fieldEntry:
 			e, err := decodeEntry(content)
 			c.Entries = append(c.Entries, e)
 			return err
+		case fieldCompressed:
+			entries, err := decodeCompressed(content)
+			c.Entries = append(c.Entries, entries...)
+			return err
 		}
 		return nil
 	})
 	return c, err
 }
 
+// decodeCompressed decodes entries that were compressed.
+func decodeCompressed(b []byte) ([]store.Entry, error) {
+	plain, err := decompress(b)
+	if err != nil {
+		return nil, err
+	}
+	var entries []store.Entry
+	err = forEachField(plain, func(n protowire.Number, _ uint64, content []byte) error {
+		if n != fieldEntry {
+			return nil
+		}
+		e, err := decodeEntry(content)
+		entries = append(entries, e)
+		return err
+	})
+	return entries, err
+}
+
 func decodeEntry(b []byte) (store.Entry, error) {
 	var e store.Entry
 	err := forEachField(b, func(n protowire.Number, v uint64, content []byte) error {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,6 +13,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/mirror"
+	"dandelionmux/pkg/source"
 	"dandelionmux/pkg/store"
 )
 
@@ -35,39 +37,34 @@
 	// maxWatchLag is how long a watch may lag behind a confirming read.
 	maxWatchLag = 400 * time.Millisecond
 	// maxReaderConfirmationAge is the age of a reader's last confirming read above which
-	// its followers choose another reader. It is longer than a confirmPeriod and a slow
-	// answer.
-	maxReaderConfirmationAge = 1100 * time.Millisecond
+	// its followers choose another reader. It is longer than a confirmPeriod and two slow
+	// answers.
+	maxReaderConfirmationAge = 1400 * time.Millisecond
 	// catchUpTimeout bounds the confirming read with which an instance that lost its
 	// reader checks the store itself, and the revocation of the lease.
 	catchUpTimeout = 300 * time.Millisecond
-	// staleReaderPeriod is how long a reader that could not be copied or has outdated
-	// data is skipped, because an instance that the store rejects usually stays rejected
-	// for seconds.
-	staleReaderPeriod = 4 * time.Second
 )
 
 // errReadingEnded says that another instance is to read the store, or that the context
 // ended. It is not a failure.
 var errReadingEnded = errors.New("store reading ended")
 
-// maintainMirror keeps the mirror up to date until ctx ends: from the store if the
-// mirror is empty or this instance is the zone's reader, else from the reader.
+// maintainMirror keeps the mirror up to date until ctx ends, from where package source
+// decides.
 func (g *Gateway) maintainMirror(ctx context.Context) {
+	g.discover(ctx)
 	for ctx.Err() == nil {
-		if g.mirrorEmpty() {
-			g.backoff.wait(ctx)
-			if err := g.listStore(ctx); err != nil {
-				g.logStoreFailure(ctx, "list", err)
-			}
-			continue
-		}
-		source := g.selectReader()
-		if source == g.self.Address {
+		switch next := g.nextSource().(type) {
+		case source.Read:
 			g.readStore(ctx)
-			continue
+		case source.Follow:
+			g.followReader(ctx, next.Instance)
+		case source.CatchUp:
+			ok := g.catchUp(ctx)
+			g.state.withLock(func() { g.state.source.CaughtUp(boot.Now(), ok) })
+		case source.Wait:
+			sleep(ctx, next.For)
 		}
-		g.followReader(ctx, source)
 	}
 }
 
@@ -78,21 +75,6 @@
 	return empty
 }
 
-// selectReader returns the highest-ranked reader of the zone that is not marked stale.
-// If all are, it is this instance.
-func (g *Gateway) selectReader() instance.Address {
-	reader := g.self.Address
-	g.state.withLock(func() {
-		for _, m := range g.state.roster.Readers() {
-			if _, stale := g.state.staleUntil[m.Address]; !stale {
-				reader = m.Address
-				return
-			}
-		}
-	})
-	return reader
-}
-
 // listStore reads the complete content of the store into the mirror.
 func (g *Gateway) listStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -120,7 +102,7 @@
 	answer, err := g.adapters.Store.Do(ctx, call)
 	if err != nil {
 		g.count(fmt.Sprintf("Store.Failed.%T", call))
-		g.backoff.recordFailure(boot.Now())
+		g.backoff.recordFailure(boot.Now(), g.maxStorePause())
 		return nil, err
 	}
 	g.count(fmt.Sprintf("Store.Answered.%T", call))
@@ -128,6 +110,17 @@
 	return answer, nil
 }
 
+// maxStorePause returns the longest mean pause after a failed call.
+func (g *Gateway) maxStorePause() time.Duration {
+	pause := maxPause
+	g.state.withLock(func() {
+		if g.state.source.IsSubstitute() {
+			pause = maxSubstitutePause
+		}
+	})
+	return pause
+}
+
 // logStoreFailure logs a failed call, unless ctx has ended.
 func (g *Gateway) logStoreFailure(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
@@ -152,11 +145,15 @@
 // read, the confirmation is too old, or ctx ends.
 func (g *Gateway) readStore(ctx context.Context) {
 	g.backoff.wait(ctx)
-	if err := g.confirmOnce(ctx, callTimeout); err != nil {
+	var err error
+	if g.mirrorEmpty() {
+		err = g.listStore(ctx)
+	} else {
+		err = g.confirmOnce(ctx, callTimeout)
+	}
+	if err != nil {
 		g.logStoreFailure(ctx, "confirm", err)
-		if g.confirmationExpired() {
-			g.state.markStale(g.self.Address, "own confirmation expired")
-		}
+		g.endReadingIfExpired()
 		return
 	}
 	g.logger.Info("reading the store for the zone")
@@ -171,10 +168,24 @@
 	}
 }
 
+// endReadingIfExpired lets another instance read if the last confirmation is too old, and
+// reports whether it is.
+func (g *Gateway) endReadingIfExpired() bool {
+	if !g.confirmationExpired() {
+		return false
+	}
+	g.state.withLock(func() { g.state.source.ReadFailed(boot.Now()) })
+	g.count("Reader.Stale")
+	g.logger.Warn("reader skipped",
+		slog.String("Peer", string(g.self.Address)),
+		slog.String("Reason", "own confirmation expired"))
+	return true
+}
+
 // watchStore applies changes of the store to the mirror until another instance is to
 // read, which may follow from a change of the members itself.
 func (g *Gateway) watchStore(ctx context.Context) error {
-	for ctx.Err() == nil && g.selectReader() == g.self.Address {
+	for ctx.Err() == nil && g.isReader() {
 		if err := g.watchOnce(ctx); err != nil {
 			if errors.Is(err, errChangesLost) {
 				err = g.listStore(ctx)
@@ -252,14 +263,13 @@
 // to read the store or the last confirmation is too old.
 func (g *Gateway) confirmPeriodically(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if g.selectReader() != g.self.Address {
+		if !g.isReader() {
 			return errReadingEnded
 		}
 		sleep(ctx, confirmPeriod)
 		if err := g.confirmOnce(ctx, callTimeout); err != nil {
 			g.logStoreFailure(ctx, "confirm", err)
-			if g.confirmationExpired() {
-				g.state.markStale(g.self.Address, "own confirmation expired")
+			if g.endReadingIfExpired() {
 				return errReadingEnded
 			}
 			g.backoff.wait(ctx)
@@ -298,40 +308,61 @@
 	return nil
 }
 
-// followReader copies the mirror of the zone's reader until that fails or another
-// instance becomes the reader.
+// followReader copies the mirror of another instance until that fails or another action is
+// due.
 func (g *Gateway) followReader(ctx context.Context, reader instance.Address) {
 	g.logger.Info("following the zone's reader",
 		slog.String("Reader", string(reader)))
-	for ctx.Err() == nil && g.selectReader() == reader {
-		if err := g.copyOnce(ctx, reader); err != nil {
-			if ctx.Err() == nil {
-				g.state.markStale(reader, err.Error())
-				g.catchUp(ctx)
-			}
+	last := &copiedFrom{}
+	for ctx.Err() == nil && g.nextSource() == (source.Follow{Instance: reader}) {
+		err := g.copyOnce(ctx, reader, last)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			g.state.withLock(func() { g.state.source.Copied() })
+		default:
+			g.state.skipSource(reader, copyFailure(err), err.Error())
 			return
 		}
 	}
 }
 
-// catchUp checks the store once after a reader was lost, so that no change waits until
-// the next reader is found. It does nothing if the instance's last confirming read is
-// as recent as a reader's would be.
-func (g *Gateway) catchUp(ctx context.Context) {
-	now := boot.Now()
-	if confirmedAt, ok := g.confirmedAt(); g.backoff.remaining(now) > 0 || ok && now-confirmedAt < confirmPeriod {
-		return
+// copyFailure tells what an error of copyOnce says about the other instance.
+func copyFailure(err error) source.Failure {
+	var network net.Error
+	switch {
+	case errors.Is(err, errOutdated):
+		return source.Outdated
+	case errors.As(err, &network) && network.Timeout():
+		return source.Unanswered
+	default:
+		return source.Gone
+	}
+}
+
+// catchUp reads the store once, and reports whether the mirror is complete then.
+func (g *Gateway) catchUp(ctx context.Context) bool {
+	if g.backoff.remaining(boot.Now()) > 0 {
+		return false
+	}
+	if g.mirrorEmpty() {
+		return g.listOnce(ctx)
 	}
 	if err := g.confirmOnce(ctx, catchUpTimeout); err != nil {
 		g.count("Store.CatchUpFailed")
-		return
+		return false
 	}
 	behind := false
 	g.state.withLock(func() { behind = g.state.mirror.Behind() })
-	if !behind {
-		return
-	}
-	if err := g.listStore(ctx); err != nil {
+	return !behind || g.listOnce(ctx)
+}
+
+// listOnce is listStore with a log line if it fails.
+func (g *Gateway) listOnce(ctx context.Context) bool {
+	err := g.listStore(ctx)
+	if err != nil {
 		g.logStoreFailure(ctx, "catch up", err)
 	}
+	return err == nil
 }
--- a/internal/gateway/reader_internal_test.go
+++ b/internal/gateway/reader_internal_test.go
@@ -12,7 +12,8 @@
 const maxApplyDelay = 2 * time.Second
 
 // A reader may lose the store right after its last confirming read and right before a
-// change. Its followers must detect that in time to check the store themselves.
+// change. Its followers must detect that in time to follow the next in order, which has to
+// read the store first, or to check the store themselves.
 func TestLostReaderIsDetectedInTime(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -34,7 +35,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			is.True(tt.detection+catchUpTimeout < maxApplyDelay)
+			is.True(tt.detection+max(catchUpTimeout, takeoverTimeout) < maxApplyDelay)
 		})
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,9 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
+	// Capacity is how much work the instance can do, in processor cores; zero if that isn't
+	// known. Instances with more of it read the store for the others.
+	Capacity float64
 	// StoreAddress is the address of the platform's store, "IP:port".
 	StoreAddress string
 	// MinLeaseTerm is the shortest lease term that the store grants.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -9,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
@@ -19,6 +22,7 @@
 	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/roster"
+	"dandelionmux/pkg/source"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
 )
@@ -78,16 +82,17 @@
 	// linkReport is what this instance last reported of its links, at linkReportAt.
 	linkReport   link.Report
 	linkReportAt time.Duration
-	// unresponsiveUntil holds the instances that did not answer a decision request,
-	// and staleUntil the readers that could not be copied or have outdated data, each
-	// with the time until which it is skipped. The two are separate because a reader
-	// that the store rejects must go on keeping rates: two keepers of one rate would
-	// grant more than the rate.
+	// unresponsiveUntil holds the instances that did not answer a decision request, with
+	// the time until which each is skipped. source passes over others: an instance that the
+	// store rejects must go on keeping rates, since two keepers of one rate would grant
+	// more than the rate.
 	unresponsiveUntil map[instance.Address]time.Duration
-	staleUntil        map[instance.Address]time.Duration
+	// source chooses from where this instance gets the store's content.
+	source *source.Chooser
 	// publishedTrust is the time of trust that was last published.
 	publishedTrust time.Duration
-	// mirrorChanged is closed and replaced when the mirror's position changes.
+	// mirrorChanged is closed and replaced when the mirror's position or confirmation
+	// changes.
 	mirrorChanged chan struct{}
 	// lastDatagramAt is when each other instance last sent a datagram.
 	lastDatagramAt map[instance.Address]time.Duration
@@ -104,6 +109,7 @@
 // member is an instance, this one included, as it registered in the store.
 type member struct {
 	instance.Info
+	capacity float64
 	// expiresAt is when a member that was removed around a store outage is dropped. It
 	// is zero for a member that is registered.
 	expiresAt time.Duration
@@ -113,6 +119,25 @@
 type memberValue struct {
 	Zone        string
 	Incarnation uint64
+	Capacity    float64 `json:",omitempty"`
+}
+
+// decodeMember returns the member that is registered under a key.
+func decodeMember(e store.Entry) (member, error) {
+	var v memberValue
+	if err := json.Unmarshal(e.Value, &v); err != nil {
+		return member{}, errors.Wrap(err, "decode member")
+	}
+	return member{
+		Info: instance.Info{
+			ID: instance.ID{
+				Address:     instance.Address(strings.TrimPrefix(e.Key, memberPrefix)),
+				Incarnation: v.Incarnation,
+			},
+			Zone: v.Zone,
+		},
+		capacity: v.Capacity,
+	}, nil
 }
 
 func newLocalState(g *Gateway) *localState {
@@ -139,7 +164,7 @@
 		helpers:           link.NewHelpers(),
 		formerUntil:       map[string]time.Duration{},
 		unresponsiveUntil: map[instance.Address]time.Duration{},
-		staleUntil:        map[instance.Address]time.Duration{},
+		source:            source.New(g.self),
 		mirrorChanged:     make(chan struct{}),
 		lastDatagramAt:    map[instance.Address]time.Duration{},
 		ages:              roster.NewAges(g.self.Address, now),
@@ -163,6 +188,7 @@
 	defer st.mu.Unlock()
 	now := boot.Now()
 	before := st.mirror.Position()
+	initial := st.mirror.Empty()
 	confirmedAt, confirmed := st.mirror.ConfirmedAt()
 	outage := confirmed && now-confirmedAt > outageConfirmationAge
 	changes := change(st.mirror)
@@ -177,6 +203,12 @@
 	// What a store that was set back has lost is written again by those who wrote it, as
 	// after an outage.
 	targetsChanged, membersChanged := st.applyEntries(now, changes, outage || setBack)
+	if initial && !st.mirror.Empty() {
+		st.gateway.logger.Info("store content received",
+			slog.Int64("Counter", at.Counter),
+			slog.Int("Members", len(st.members)),
+			slog.Int("Targets", st.targets.Len()))
+	}
 	if membersChanged {
 		st.rebuildRoster()
 	}
@@ -189,7 +221,7 @@
 		}
 	}
 	st.publishTrust()
-	if at != before {
+	if confirmedNow, _ := st.mirror.ConfirmedAt(); at != before || confirmedNow != confirmedAt {
 		close(st.mirrorChanged)
 		st.mirrorChanged = make(chan struct{})
 	}
@@ -282,7 +314,11 @@
 	if !st.targets.Put(r) {
 		return false
 	}
-	log.Info("target registered",
+	level := slog.LevelInfo
+	if _, confirmed := st.mirror.ConfirmedAt(); !confirmed {
+		level = slog.LevelDebug // one of all that the store holds
+	}
+	log.Log(context.Background(), level, "target registered",
 		slog.String("Target", name),
 		slog.String("Service", r.Service),
 		slog.String("Address", r.Target.Address),
@@ -310,24 +346,16 @@
 		st.dropMember(now, address)
 		return
 	}
-	var v memberValue
-	if err := json.Unmarshal(e.Value, &v); err != nil {
+	m, err := decodeMember(e)
+	if err != nil {
 		log.Warn("invalid member registration ignored",
 			slog.String("Member", string(address)),
 			slog.String("Error", err.Error()))
 		return
 	}
-	st.members[address] = member{
-		Info: instance.Info{
-			ID: instance.ID{
-				Address:     address,
-				Incarnation: v.Incarnation,
-			},
-			Zone: v.Zone,
-		},
-	}
+	st.members[address] = m
 	delete(st.unresponsiveUntil, address)
-	delete(st.staleUntil, address)
+	st.source.Forgive(address)
 	log.Debug("member registered",
 		slog.String("Member", string(address)))
 }
@@ -341,10 +369,15 @@
 // rebuildRoster derives the roster from the members.
 func (st *localState) rebuildRoster() {
 	list := make([]instance.Info, 0, len(st.members))
+	var zone []source.Member
 	for _, m := range st.members {
 		list = append(list, m.Info)
+		if m.Zone == st.gateway.self.Zone {
+			zone = append(zone, m.sourceMember())
+		}
 	}
 	st.roster = roster.New(st.gateway.self, list)
+	st.source.SetMembers(zone)
 }
 
 // updateTables updates the services' target tables from the registered targets.
@@ -420,9 +453,8 @@
 	}
 	st.helpers.Expire(now)
 	maps.DeleteFunc(st.formerUntil, func(_ string, until time.Duration) bool { return now >= until })
-	for _, excluded := range []map[instance.Address]time.Duration{st.unresponsiveUntil, st.staleUntil} {
-		maps.DeleteFunc(excluded, func(_ instance.Address, until time.Duration) bool { return now >= until })
-	}
+	maps.DeleteFunc(st.unresponsiveUntil, func(_ instance.Address, until time.Duration) bool { return now >= until })
+	st.source.Expire(now)
 }
 
 // unresponsive reports whether an instance recently failed to answer a decision
@@ -442,16 +474,23 @@
 		slog.String("Task", task))
 }
 
-// markStale skips, for staleReaderPeriod, a reader that could not be copied or whose
-// last confirming read is too old. why is for the log.
-func (st *localState) markStale(a instance.Address, why string) {
-	st.withLock(func() { st.staleUntil[a] = boot.Now() + staleReaderPeriod })
+// skipSource records that an instance could not be copied, and why.
+func (st *localState) skipSource(a instance.Address, failure source.Failure, why string) {
+	st.withLock(func() { st.source.Failed(boot.Now(), a, failure) })
 	st.gateway.count("Reader.Stale")
 	st.gateway.logger.Warn("reader skipped",
 		slog.String("Peer", string(a)),
 		slog.String("Reason", why))
 }
 
+// sourceMember returns the member as package source sees it.
+func (m member) sourceMember() source.Member {
+	return source.Member{
+		Info:     m.Info,
+		Capacity: m.capacity,
+	}
+}
+
 // withLock calls f with mu held.
 func (st *localState) withLock(f func()) {
 	st.mu.Lock()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,6 +1,5 @@
-// Package roster assigns tasks to instances: reading the store for a zone, keeping
-// an organisation's token bucket or a service's retry budget, and passing messages
-// on to other zones.
+// Package roster assigns tasks to instances: keeping an organisation's token bucket or a
+// service's retry budget, and passing messages on to other zones.
 //
 // There are no elections. Each instance ranks the members that it knows by
 // rendezvous hashing, and the first in rank that isn't known to be unresponsive has
@@ -10,9 +9,6 @@
 // # Usage
 //
 //	r := roster.New(self, members)
-//	if r.Readers()[0].Address == self.Address {
-//		// Read the store for the zone.
-//	}
 //	keeper := r.ZoneKeeper("rate", organisation, unresponsive)
 package roster
 
@@ -83,12 +79,6 @@
 	}
 }
 
-// Readers returns the members of the zone in the order of preference for reading the
-// store.
-func (r *Roster) Readers() []instance.Info {
-	return instance.Rank(key("reader", r.self.Zone), r.ZoneMembers())
-}
-
 // ZoneKeeper returns the member of this instance's zone that is responsible for the
 // rate, budget or message of this kind and name. Unresponsive members are passed over
 // unless all are unresponsive.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -199,7 +199,6 @@
 	self := members(1)[0]
 	r := roster.New(self, nil)
 	is.Equal(r.ZoneKeeper("rate", "orchard", noneUnresponsive), self.Address)
-	is.Equal(r.Readers()[0].Address, self.Address)
 	is.Equal(len(r.RemoteKeepers("rate", "orchard", noneUnresponsive)), 0)
 	is.Equal(r.Zones(3, noneUnresponsive).Count, 3)
 }
--- /dev/null
+++ b/pkg/source/fleet_test.go
@@ -0,0 +1,792 @@
+package source_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/source"
+)
+
+// Times and sizes of a simulated fleet. They are those of package gateway.
+const (
+	storeTime         = 5 * time.Millisecond
+	messageTime       = 500 * time.Microsecond
+	dialTimeout       = 300 * time.Millisecond
+	callTimeout       = 1500 * time.Millisecond
+	confirmPeriod     = 600 * time.Millisecond
+	longPoll          = 800 * time.Millisecond
+	holdTime          = 400 * time.Millisecond
+	maxFreshAge       = 1100 * time.Millisecond
+	settleTime        = 200 * time.Millisecond
+	renewPeriod       = 2500 * time.Millisecond
+	memberTerm        = 9 * time.Second
+	renewPrice        = 0.1
+	stalePrice        = 0.1
+	pageEntries       = 500
+	targetsInStore    = 494
+	startPeriod       = 50 * time.Millisecond
+	minBackoff        = 200 * time.Millisecond
+	maxBackoff        = 1600 * time.Millisecond
+	substituteBackoff = 400 * time.Millisecond
+	trustedTerm       = 4600 * time.Millisecond
+	batchDelay        = 150 * time.Millisecond
+	processingDelay   = 2 * time.Millisecond
+)
+
+// event is something that happens at a time.
+type event struct {
+	at     time.Duration
+	number int
+	do     func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// registration is a member's key in the store.
+type registration struct {
+	member    source.Member
+	counter   int64
+	expiresAt time.Duration
+}
+
+// simulatedFleet plays instances that read a store or follow each other.
+type simulatedFleet struct {
+	random        *rand.Rand
+	now           time.Duration
+	queue         eventQueue
+	events        int
+	instances     []*simulatedInstance
+	counter       int64
+	registrations map[instance.Address]*registration
+	// down is set while the store answers nobody.
+	down  bool
+	calls float64
+}
+
+// simulatedInstance is one process.
+type simulatedInstance struct {
+	fleet      *simulatedFleet
+	info       source.Member
+	run        int
+	alive      bool
+	rejected   bool
+	isolated   bool
+	slow       time.Duration
+	chooser    *source.Chooser
+	registered bool
+	mirror     int64
+	// confirmedAt is when the mirror was last confirmed; negative if never.
+	confirmedAt time.Duration
+	// known is the confirmation that the instance knownOf has given last, by its clock.
+	known    time.Duration
+	knownOf  instance.Address
+	backoff  time.Duration
+	reading  bool
+	watching bool
+	waiting  []func()
+	calls    float64
+	// oldest is the greatest age of the confirmation at any time after the first.
+	oldest time.Duration
+	// lag is the longest time until a change was known.
+	lag time.Duration
+}
+
+func newFleet(zones, perZone int, seed uint64) *simulatedFleet {
+	f := &simulatedFleet{
+		random:        rand.New(rand.NewPCG(seed, 0)),
+		now:           time.Minute,
+		counter:       targetsInStore,
+		registrations: map[instance.Address]*registration{},
+	}
+	for i := range zones * perZone {
+		x := &simulatedInstance{
+			fleet: f,
+			info: source.Member{
+				Info: instance.Info{
+					ID: instance.ID{
+						Address: instance.Address(fmt.Sprintf("10.%d.0.%d:7000", i%zones, i/zones)),
+					},
+					Zone: fmt.Sprint(i % zones),
+				},
+				Capacity: 0.16,
+			},
+		}
+		if i/zones < 3 {
+			x.info.Capacity = 0.8
+		}
+		f.instances = append(f.instances, x)
+	}
+	return f
+}
+
+func (f *simulatedFleet) after(d time.Duration, do func()) {
+	f.events++
+	heap.Push(&f.queue, event{
+		at:     f.now + d,
+		number: f.events,
+		do:     do,
+	})
+}
+
+func (f *simulatedFleet) run(d time.Duration) {
+	until := f.now + d
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+// startAll starts all instances that aren't running, within startPeriod.
+func (f *simulatedFleet) startAll() {
+	for _, x := range f.instances {
+		if !x.alive {
+			f.after(time.Duration(f.random.Float64()*float64(startPeriod)), x.start)
+		}
+	}
+}
+
+// change lets the operator change the store.
+func (f *simulatedFleet) change() {
+	f.counter++
+	counter, at := f.counter, f.now
+	for _, x := range f.instances {
+		if x.watching {
+			f.after(storeTime/2, func() { x.learn(counter) })
+		}
+		x.expect(counter, at)
+	}
+}
+
+// expect measures how long it takes until the instance knows of a change.
+func (x *simulatedInstance) expect(counter int64, at time.Duration) {
+	if !x.alive || x.confirmedAt < 0 {
+		return
+	}
+	run := x.run
+	var check func()
+	check = func() {
+		switch {
+		case x.run != run:
+		case x.mirror >= counter:
+			x.lag = max(x.lag, x.fleet.now-at)
+		default:
+			x.fleet.after(10*time.Millisecond, check)
+		}
+	}
+	check()
+}
+
+// list returns the members of the zone up to a counter.
+func (x *simulatedInstance) members(counter int64) []source.Member {
+	var list []source.Member
+	for _, r := range x.fleet.registrations {
+		if r.counter <= counter && x.fleet.now < r.expiresAt && r.member.Zone == x.info.Zone {
+			list = append(list, r.member)
+		}
+	}
+	return list
+}
+
+// call makes a call to the store.
+func (x *simulatedInstance) call(price float64, done func(ok bool)) {
+	f := x.fleet
+	run := x.run
+	x.calls += price
+	f.calls += price
+	ok := !f.down && !x.rejected
+	f.after(storeTime, func() {
+		if x.run != run {
+			return
+		}
+		if ok {
+			x.backoff = 0
+		} else {
+			most := maxBackoff
+			if x.chooser.IsSubstitute() {
+				most = substituteBackoff
+			}
+			x.backoff = min(max(2*x.backoff, minBackoff), most)
+		}
+		done(ok)
+	})
+}
+
+// soon runs something in this run of the process, after d.
+func (x *simulatedInstance) soon(d time.Duration, do func()) {
+	run := x.run
+	x.fleet.after(d, func() {
+		if x.run == run {
+			do()
+		}
+	})
+}
+
+// later runs something in this run of the process, after the backoff and d.
+func (x *simulatedInstance) later(d time.Duration, do func()) {
+	run := x.run
+	pause := time.Duration(0)
+	if x.backoff > 0 {
+		pause = x.backoff/2 + time.Duration(x.fleet.random.Float64()*float64(x.backoff))
+	}
+	x.fleet.after(d+pause, func() {
+		if x.run == run {
+			do()
+		}
+	})
+}
+
+func (x *simulatedInstance) start() {
+	x.run++
+	x.alive = true
+	x.chooser = source.New(x.info.Info)
+	x.registered, x.mirror, x.confirmedAt, x.reading, x.watching, x.backoff = false, 0, -1, false, false, 0
+	x.waiting = nil
+	x.register()
+	x.discover(true)
+	x.measure()
+}
+
+func (x *simulatedInstance) kill() {
+	x.run++
+	x.alive = false
+}
+
+func (x *simulatedInstance) measure() {
+	if x.confirmedAt >= 0 {
+		x.oldest = max(x.oldest, x.fleet.now-x.confirmedAt)
+	}
+	run := x.run
+	x.fleet.after(10*time.Millisecond, func() {
+		if x.run == run {
+			x.measure()
+		}
+	})
+}
+
+func (x *simulatedInstance) register() {
+	x.call(1, func(ok bool) {
+		if !ok {
+			x.later(0, x.register)
+			return
+		}
+		x.call(1, func(ok bool) {
+			if !ok {
+				x.later(0, x.register)
+				return
+			}
+			f := x.fleet
+			f.counter++
+			r := &registration{
+				member:    x.info,
+				counter:   f.counter,
+				expiresAt: f.now + memberTerm,
+			}
+			f.registrations[x.info.Address] = r
+			x.registered = true
+			for _, y := range f.instances {
+				if y.watching {
+					counter := f.counter
+					f.after(storeTime/2, func() { y.learn(counter) })
+				}
+			}
+			x.later(renewPeriod, func() { x.renew(r) })
+		})
+	})
+}
+
+func (x *simulatedInstance) renew(r *registration) {
+	if x.fleet.now >= r.expiresAt {
+		x.register()
+		return
+	}
+	x.call(renewPrice, func(ok bool) {
+		if ok {
+			r.expiresAt = x.fleet.now + memberTerm
+		}
+		x.later(renewPeriod, func() { x.renew(r) })
+	})
+}
+
+// discover lists the members once. If nobody else is there, it does so again once the
+// others have registered.
+func (x *simulatedInstance) discover(first bool) {
+	x.call(stalePrice, func(ok bool) {
+		list := x.members(x.fleet.counter)
+		others := 0
+		for _, m := range list {
+			if m.Address != x.info.Address {
+				others++
+			}
+		}
+		switch {
+		case !ok:
+			x.later(0, func() { x.discover(first) })
+		case first && others == 0:
+			x.awaitRegistration()
+		default:
+			x.chooser.SetMembers(list)
+			x.next()
+		}
+	})
+}
+
+func (x *simulatedInstance) awaitRegistration() {
+	if !x.registered {
+		x.later(10*time.Millisecond, x.awaitRegistration)
+		return
+	}
+	x.later(settleTime, func() { x.discover(false) })
+}
+
+// learn takes in the content of the store up to a counter.
+func (x *simulatedInstance) learn(counter int64) {
+	if !x.alive || counter <= x.mirror {
+		return
+	}
+	x.mirror = counter
+	x.chooser.SetMembers(x.members(counter))
+	x.wake()
+}
+
+func (x *simulatedInstance) confirm(at time.Duration) {
+	if at > x.confirmedAt {
+		x.confirmedAt = at
+		x.wake()
+	}
+}
+
+func (x *simulatedInstance) wake() {
+	list := x.waiting
+	x.waiting = nil
+	for _, do := range list {
+		do()
+	}
+}
+
+func (x *simulatedInstance) fresh() bool {
+	return x.alive && x.confirmedAt >= 0 && x.fleet.now-x.confirmedAt <= maxFreshAge
+}
+
+// pages is the number of calls of a complete list.
+func (x *simulatedInstance) pages() float64 {
+	return float64((targetsInStore + len(x.fleet.registrations) + pageEntries) / pageEntries)
+}
+
+// next does what the chooser says.
+func (x *simulatedInstance) next() {
+	x.chooser.Expire(x.fleet.now)
+	switch a := x.chooser.Next(x.fleet.now).(type) {
+	case source.Read:
+		x.read()
+	case source.Follow:
+		x.follow(a.Instance)
+	case source.CatchUp:
+		x.catchUp()
+	case source.Wait:
+		x.soon(a.For, x.next)
+	}
+}
+
+// readOnce reads the store: a list if the mirror is empty, and else a confirming read.
+func (x *simulatedInstance) readOnce(done func(ok bool)) {
+	sentAt := x.fleet.now
+	price := 1.0
+	if x.mirror == 0 {
+		price = x.pages()
+	}
+	x.call(price, func(ok bool) {
+		if ok {
+			if x.mirror < x.fleet.counter && price == 1 {
+				x.calls += x.pages()
+				x.fleet.calls += x.pages()
+			}
+			x.learn(x.fleet.counter)
+			x.confirm(sentAt)
+		}
+		done(ok)
+	})
+}
+
+func (x *simulatedInstance) read() {
+	x.readOnce(func(ok bool) {
+		if !ok {
+			if !x.fresh() {
+				x.chooser.ReadFailed(x.fleet.now)
+			}
+			x.soon(processingDelay, x.next)
+			return
+		}
+		x.calls++ // the watch
+		x.fleet.calls++
+		x.watching = true
+		x.goOnReading()
+	})
+}
+
+func (x *simulatedInstance) goOnReading() {
+	x.later(confirmPeriod, func() {
+		x.chooser.Expire(x.fleet.now)
+		if _, ok := x.chooser.Next(x.fleet.now).(source.Read); !ok {
+			x.watching = false
+			x.next()
+			return
+		}
+		x.readOnce(func(ok bool) {
+			if !ok && !x.fresh() {
+				x.watching = false
+				x.chooser.ReadFailed(x.fleet.now)
+				x.next()
+				return
+			}
+			x.goOnReading()
+		})
+	})
+}
+
+func (x *simulatedInstance) catchUp() {
+	x.readOnce(func(ok bool) {
+		x.chooser.CaughtUp(x.fleet.now, ok)
+		x.soon(processingDelay, x.next)
+	})
+}
+
+// answer is what a follower gets.
+type answer struct {
+	ok          bool
+	counter     int64
+	age         time.Duration
+	confirmedAt time.Duration
+	held        time.Duration
+}
+
+func (x *simulatedInstance) follow(a instance.Address) {
+	f := x.fleet
+	var y *simulatedInstance
+	for _, o := range f.instances {
+		if o.info.Address == a {
+			y = o
+		}
+	}
+	run, sentAt := x.run, f.now
+	failed := func(why source.Failure) {
+		if x.run != run {
+			return
+		}
+		x.chooser.Failed(f.now, a, why)
+		x.next()
+	}
+	if x.isolated || y.isolated {
+		f.after(dialTimeout, func() { failed(source.Unanswered) })
+		return
+	}
+	if !y.alive {
+		f.after(messageTime, func() { failed(source.Gone) })
+		return
+	}
+	ended := false
+	f.after(longPoll+dialTimeout, func() {
+		if !ended {
+			ended = true
+			failed(source.Unanswered)
+		}
+	})
+	f.after(messageTime+y.slow, func() {
+		known := time.Duration(-1)
+		if x.knownOf == a {
+			known = x.known
+		}
+		y.serve(x.mirror, known, f.now, func(r answer) {
+			f.after(messageTime, func() {
+				if ended || x.run != run {
+					return
+				}
+				ended = true
+				if !r.ok {
+					failed(source.Outdated)
+					return
+				}
+				x.learn(r.counter)
+				x.confirm(sentAt + r.held - r.age)
+				x.known, x.knownOf = r.confirmedAt, a
+				x.chooser.Copied()
+				x.soon(processingDelay, x.next)
+			})
+		})
+	})
+}
+
+// serve answers a follower as package gateway does.
+func (x *simulatedInstance) serve(after int64, known, arrivedAt time.Duration, reply func(answer)) {
+	f := x.fleet
+	run := x.run
+	var look func()
+	look = func() {
+		since := f.now - arrivedAt
+		first := x.alive && x.run == run && (x.chooser.First(f.now) == x.info.Address || x.chooser.First(f.now) == "")
+		switch {
+		case !x.alive || x.run != run:
+		case x.fresh() && (x.mirror > after || x.confirmedAt > known || since >= longPoll):
+			reply(answer{
+				ok:          true,
+				counter:     x.mirror,
+				age:         f.now - x.confirmedAt,
+				confirmedAt: x.confirmedAt,
+				held:        since,
+			})
+		case x.fresh() || first && since < holdTime:
+			x.waiting = append(x.waiting, look)
+		default:
+			reply(answer{})
+		}
+	}
+	f.after(holdTime, x.wake)
+	f.after(longPoll, x.wake)
+	look()
+}
+
+// known returns the number of instances that are alive and fresh, and of those alive.
+func (f *simulatedFleet) known() (fresh, alive int) {
+	for _, x := range f.instances {
+		if x.alive {
+			alive++
+			if x.fresh() {
+				fresh++
+			}
+		}
+	}
+	return fresh, alive
+}
+
+// resetMeasures starts to measure anew.
+func (f *simulatedFleet) resetMeasures() {
+	f.calls = 0
+	for _, x := range f.instances {
+		x.calls, x.oldest, x.lag = 0, 0, 0
+	}
+}
+
+// worst returns the greatest age and lag of those that are neither rejected nor isolated.
+func (f *simulatedFleet) worst() (age, lag time.Duration) {
+	for _, x := range f.instances {
+		if x.alive && !x.rejected && !x.isolated {
+			age, lag = max(age, x.oldest), max(lag, x.lag)
+		}
+	}
+	return age, lag
+}
+
+// The fleets of these tests have 290 instances in five zones.
+const (
+	testZones   = 5
+	testPerZone = 58
+	// callsOfInstance is what an instance may cost a minute: its registration, the list of
+	// members and the renewals. callsOfZone is what reading the store for a zone may cost.
+	callsOfInstance = 5
+	callsOfZone     = 130
+	// maxChangeTime is when a change must be known to instances that reach the store.
+	maxChangeTime = 2 * time.Second
+)
+
+// newRunningFleet returns a fleet that has been running for ten seconds.
+func newRunningFleet(seed uint64) *simulatedFleet {
+	f := newFleet(testZones, testPerZone, seed)
+	f.startAll()
+	f.run(10 * time.Second)
+	f.resetMeasures()
+	return f
+}
+
+// seeds are those of each test.
+const seeds = 2
+
+// Guards against instances that each list and watch the store when all start at once, and
+// against a day whose calls grow with more than registrations.
+func TestCallsOfAFleetThatStarts(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds) {
+		is := is.New(t)
+		f := newFleet(testZones, testPerZone, seed)
+		f.startAll()
+		f.run(time.Second)
+		fresh, alive := f.known()
+		is.Equal(fresh, alive)
+		for range 30 {
+			f.change()
+			f.run(2 * time.Second)
+		}
+		age, lag := f.worst()
+		t.Logf("calls in a minute: %.0f, oldest confirmation %v, latest change %v", f.calls, age, lag)
+		is.True(f.calls <= callsOfInstance*testZones*testPerZone+callsOfZone*testZones)
+		is.True(age < maxFreshAge)
+		is.True(lag < maxChangeTime)
+	}
+}
+
+// Guards against a zone that misses a change, or whose instances all turn to the store, when
+// its reader dies, and with it the next two in order.
+func TestReadersAreReplaced(t *testing.T) {
+	t.Parallel()
+	for _, number := range []int{1, 3} {
+		for seed := range uint64(seeds) {
+			is := is.New(t)
+			f := newRunningFleet(seed)
+			killed := 0
+			for _, x := range f.instances {
+				if x.info.Zone == "0" && x.info.Capacity > 0.5 && (number == 3 || x.watching) {
+					x.kill()
+					killed++
+				}
+			}
+			is.Equal(killed, number)
+			f.run(300 * time.Millisecond)
+			f.change()
+			f.run(5 * time.Second)
+			age, lag := f.worst()
+			t.Logf("%d killed: calls %.0f, oldest confirmation %v, latest change %v", number, f.calls, age, lag)
+			is.True(age < maxFreshAge+takeoverSlack)
+			is.True(lag < maxChangeTime)
+			is.True(f.calls < 10*callsOfInstance*testZones*testPerZone/60+10*callsOfZone*testZones/60)
+		}
+	}
+}
+
+// takeoverSlack is how much older than usual a confirmation may be while a zone changes its
+// reader.
+const takeoverSlack = time.Second
+
+// Guards against instances that the store answers and that don't know a change, because it
+// rejects a third of the instances, among them readers.
+func TestThirdOfTheInstancesIsRejected(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2 * seeds) {
+		is := is.New(t)
+		f := newRunningFleet(seed)
+		for _, x := range f.instances {
+			x.rejected = f.random.IntN(3) == 0
+		}
+		for range 4 {
+			f.change()
+			f.run(2250 * time.Millisecond)
+		}
+		age, lag := f.worst()
+		t.Logf("calls in 9 s %.0f, oldest confirmation %v, latest change %v", f.calls, age, lag)
+		is.True(age < trustedTerm)
+		is.True(lag < trustedTerm)
+		fresh, alive := f.known()
+		is.Equal(fresh, alive) // also those that the store rejects
+	}
+}
+
+// Guards against a fleet that finds out late that the store is back, and against calls of
+// all instances while it is away.
+func TestStoreIsAway(t *testing.T) {
+	t.Parallel()
+	const (
+		outage   = 4500 * time.Millisecond
+		recovery = 1500 * time.Millisecond
+	)
+	for seed := range uint64(seeds) {
+		is := is.New(t)
+		f := newRunningFleet(seed)
+		f.down = true
+		f.run(outage)
+		calls := f.calls
+		f.down = false
+		f.change()
+		f.run(recovery)
+		fresh, alive := f.known()
+		t.Logf("calls while away %.0f, oldest confirmation then: %d of %d fresh", calls, fresh, alive)
+		is.Equal(fresh, alive)
+		is.True(calls < 3*float64(alive)) // each about once, the first three of each zone more often
+	}
+}
+
+// Guards against instances that serve late after they were killed and started again, all or
+// some of them, and against lists of the whole store by each of them.
+func TestRestartedInstances(t *testing.T) {
+	t.Parallel()
+	for _, part := range []int{1, 11, 20} { // of twenty
+		for seed := range uint64(seeds) {
+			is := is.New(t)
+			f := newRunningFleet(seed)
+			killed := 0
+			for i, x := range f.instances {
+				if (i*7)%20 < part {
+					x.kill()
+					killed++
+				}
+			}
+			f.run(2 * time.Second)
+			f.resetMeasures()
+			f.startAll()
+			f.run(time.Second)
+			fresh, alive := f.known()
+			t.Logf("%d started again: calls %.0f, fresh %d of %d after 1 s", killed, f.calls, fresh, alive)
+			is.Equal(fresh, alive)
+			is.True(f.calls < 3*float64(killed)+100)
+		}
+	}
+}
+
+// Guards against an instance without links to the others of its zone that doesn't turn to
+// the store.
+func TestIsolatedInstanceReadsTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRunningFleet(1)
+	x := f.instances[testZones*testPerZone-1]
+	x.isolated = true
+	f.run(5 * time.Second)
+	is.True(x.fresh())
+	is.True(x.oldest < trustedTerm)
+}
+
+// Guards against readers that are small while there are large ones.
+func TestLargeInstancesRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRunningFleet(1)
+	readers := 0
+	for _, x := range f.instances {
+		if x.watching {
+			readers++
+			is.Equal(x.info.Capacity, 0.8)
+		}
+	}
+	is.Equal(readers, testZones)
+}
+
+// Guards against an instance that knows nobody and waits for others.
+func TestInstanceThatIsAloneReads(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	self := instance.Info{
+		ID: instance.ID{
+			Address: "10.0.0.1:7000",
+		},
+		Zone: "a",
+	}
+	c := source.New(self)
+	c.SetMembers([]source.Member{{Info: self}})
+	is.Equal(c.Next(time.Minute), source.Read{})
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -56,6 +56,9 @@
 // List reads all keys that begin with Prefix. Its answer is an Entries.
 type List struct {
 	Prefix string
+	// AllowStale lets the store answer with an older state, up to some seconds, which is
+	// cheaper. The answer's Counter tells how old it is.
+	AllowStale bool
 }
 
 // Swap writes one key if its version is still Expected (compare and swap). Its
