Let another attempt run beside an overdue read instead of cancelling it

Cause: an overdue read was taken for one at a target that doesn't answer.

Now the first attempt goes on, and after twice the route's expected time (three times before) another one runs beside it, if the retry budget grants it, the route's limit allows it and a sound target has a free slot. The first usable answer is taken, the others are cancelled. The tests of race_test.go failed before but for that of writes.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -43,6 +43,8 @@
 	cutShort bool
 	// finished is set once the slot has been given back.
 	finished bool
+	// leavingTarget is the target, if it has announced that it is leaving.
+	leavingTarget string
 }
 
 // checkAnswer checks the header of an answer, reads the beginning of its body, and
@@ -63,12 +65,13 @@
 		}
 	}
 	if a.draining(target.Succeeded) {
-		p.exchange.leavingTarget = p.slot.Target().Name
+		a.leavingTarget = p.slot.Target().Name
 	}
 	if p.exchange.handler.dialect.isShed(r.Response) {
 		a.finish(target.Shed)
 		return failedAttempt{
-			outcome: target.Shed,
+			outcome:       target.Shed,
+			leavingTarget: a.leavingTarget,
 			refusal: &Refusal{
 				Status:     http.StatusServiceUnavailable,
 				Reason:     "target-shed",
@@ -104,13 +107,15 @@
 func (p *placedAttempt) acceptOrRetry(a *answer) attemptOutcome {
 	if a.response.StatusCode < http.StatusInternalServerError || !p.exchange.repeatable {
 		return usableAnswer{
-			answer: a,
+			answer:        a,
+			leavingTarget: a.leavingTarget,
 		}
 	}
 	return failedAttempt{
-		outcome:    target.Failed,
-		mayHaveRun: true,
-		fallback:   a,
+		outcome:       target.Failed,
+		mayHaveRun:    true,
+		fallback:      a,
+		leavingTarget: a.leavingTarget,
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,13 +26,11 @@
 	// In all, a request gets at most defaultMaxSentAttempts + maxUnsentAttempts
 	// attempts, whatever limit its route sets.
 	maxUnsentAttempts = 3
+	maxAttempts       = defaultMaxSentAttempts + maxUnsentAttempts
 	// firstAttemptPercent is the share of the time left that the first attempt
 	// of a repeatable request may take, so that time for another attempt remains
 	// if the target hangs.
 	firstAttemptPercent = 60
-	// overduePeriod is the time between two requests for a retry of an attempt whose
-	// answer is overdue.
-	overduePeriod = 500 * time.Millisecond
 )
 
 // attemptOutcome is the result of an attempt: usableAnswer or failedAttempt.
@@ -42,6 +39,8 @@
 // usableAnswer is the outcome of an attempt whose answer goes to the caller.
 type usableAnswer struct {
 	answer *answer
+	// leavingTarget is as in failedAttempt.
+	leavingTarget string
 }
 
 // failedAttempt is the outcome of an attempt that may be retried.
@@ -63,35 +62,13 @@
 	target string
 	// unsent is set if the attempt ended before it was sent anywhere.
 	unsent bool
+	// leavingTarget is the target, if it has announced in its answer that it is leaving.
+	leavingTarget string
 }
 
 func (usableAnswer) attemptOutcome()  {}
 func (failedAttempt) attemptOutcome() {}
 
-// run makes attempts until one yields a usable answer or no further attempt is
-// allowed.
-func (x *exchange) run(ctx context.Context) (*answer, error) {
-	for n := 1; ; n++ {
-		switch result := x.attempt(ctx, n).(type) {
-		case usableAnswer:
-			x.mayHaveRun = true
-			x.answered = true
-			return result.answer, nil
-		case failedAttempt:
-			x.mayHaveRun = x.mayHaveRun || result.mayHaveRun
-			x.countAttempt(result)
-			if x.shouldRetry(ctx, n, result) {
-				result.fallback.discard()
-				continue
-			}
-			if result.fallback != nil {
-				return result.fallback, nil
-			}
-			return nil, result.refusal
-		}
-	}
-}
-
 // countAttempt counts a failed attempt, unless it was sent nowhere or didn't reach its
 // target.
 func (x *exchange) countAttempt(failed failedAttempt) {
@@ -108,17 +85,14 @@
 }
 
 // shouldRetry decides whether attempt n, which failed, is followed by another, and
-// charges the retry budget for it.
-func (x *exchange) shouldRetry(ctx context.Context, n int, failure failedAttempt) bool {
-	if failure.crashedTarget != "" && !x.recordCrash(ctx, failure.crashedTarget) {
-		return false
-	}
+// charges the retry budget for it unless granted is set.
+func (x *exchange) shouldRetry(ctx context.Context, n int, failure failedAttempt, granted bool) bool {
 	switch {
-	case x.sentAttempts >= x.maxSentAttempts(), n >= defaultMaxSentAttempts+maxUnsentAttempts, ctx.Err() != nil, failure.outcome == target.Cancelled:
+	case x.sentAttempts >= x.maxSentAttempts(), n >= maxAttempts, ctx.Err() != nil, failure.outcome == target.Cancelled:
 		return false
 	case failure.mayHaveRun && !x.repeatable:
 		return false
-	case x.retryGranted.Swap(false):
+	case x.retryGranted.Swap(false), granted:
 		return true
 	}
 	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
@@ -158,24 +132,9 @@
 	return &changed
 }
 
-// attempt sends the request once: to a target, or to another instance if this one has no
-// links to the targets.
-func (x *exchange) attempt(ctx context.Context, n int) attemptOutcome {
-	switch relay, err := x.acquireRelay(ctx); {
-	case err != nil:
-		return failedAttempt{
-			outcome: target.Cancelled,
-			refusal: asRefusal(err),
-			unsent:  true,
-		}
-	case relay != nil:
-		return x.attemptThrough(ctx, relay, n)
-	}
-	return x.attemptDirectly(ctx, n)
-}
-
-// attemptDirectly sends the request to one target, once.
-func (x *exchange) attemptDirectly(ctx context.Context, n int) attemptOutcome {
+// place chooses a target for attempt n. beside says that the attempt is to run beside another
+// one. It returns the failure if there is no target.
+func (x *exchange) place(ctx context.Context, n int, beside bool) (*placedAttempt, *failedAttempt) {
 	slot, err := x.handler.deps.Dispatcher.Acquire(ctx, SlotRequest{
 		Organisation: x.organisation,
 		Route:        x.route,
@@ -185,56 +144,54 @@
 		TriedTargets: x.triedTargets,
 		Counted:      x.counted,
 		Unreached:    x.unreached,
+		Beside:       beside,
 		Deadline:     x.deadline,
 		Permit:       x.permit,
 	})
 	if err != nil {
-		return failedAttempt{
-			outcome: target.Cancelled,
-			refusal: asRefusal(err),
-			unsent:  true,
-		}
+		return nil, unsentFailure(err)
 	}
 	if err := x.renewGrant(ctx); err != nil {
 		slot.Release(AttemptResult{
 			Outcome: target.Cancelled,
 		})
-		return failedAttempt{
-			outcome: target.Cancelled,
-			refusal: asRefusal(err),
-			unsent:  true,
-		}
+		return nil, unsentFailure(err)
 	}
 	x.counted = true
 	x.triedTargets = append(x.triedTargets, slot.Target().Name)
 	x.handler.metrics.attempts.Inc(1)
 	x.logAttempt(slot, n)
-	// The answer's body is read after this function returns, with the same
-	// context.
-	ctx, cancel := x.attemptContext(ctx, n, slot.OverdueAfter())
-	if wait := slot.OverdueAfter(); wait > 0 && x.repeatable && x.sentAttempts+1 < x.maxSentAttempts() {
-		var overdue func()
-		overdue, cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
-		slot.OnUnresponsive(overdue)
-	}
 	p := &placedAttempt{
 		exchange: x,
 		slot:     slot,
 		began:    time.Now(),
 		id:       x.attemptID(n),
-		cancel:   cancel,
+		newConnection: !x.handler.mayReuseConnection(keepalive.Request{
+			Repeatable: x.repeatable,
+			Retry:      x.sentAttempts > 0 || beside,
+			Suspect:    x.permit.Suspect(),
+		}),
 	}
-	outcome := p.send(ctx)
-	if failed, ok := outcome.(failedAttempt); ok {
-		failed.target = slot.Target().Name
-		return failed
+	p.request = p.newRequest()
+	// The answer's body is read after send returns, with the same context.
+	p.ctx, p.cancel = x.attemptContext(ctx, n, slot.OverdueAfter())
+	return p, nil
+}
+
+// unsentFailure returns the failure of an attempt that was sent nowhere.
+func unsentFailure(err error) *failedAttempt {
+	return &failedAttempt{
+		outcome: target.Cancelled,
+		refusal: asRefusal(err),
+		unsent:  true,
 	}
-	return outcome
 }
 
 // renewGrant asks for a new grant if the present one has lapsed while the request
 // waited for its slot or its connection.
 func (x *exchange) renewGrant(ctx context.Context) error {
+	x.grantMu.Lock()
+	defer x.grantMu.Unlock()
 	if x.grant == nil || x.grantSpent || x.grant.Valid() {
 		return nil
 	}
@@ -258,40 +215,35 @@
 	return context.WithDeadline(ctx, limit)
 }
 
-// cancelWhenOverdue cancels attempt n after wait, or earlier when overdue is called, if a
+// cancelWhenOverdue cancels attempt n, which goes through another instance, after wait, if a
 // retry that replaces it is granted. Otherwise the attempt continues, since its answer may
-// still arrive, and the retry is asked for again every overduePeriod. An instance that is
-// leaving cancels no attempt that a target may be working on. stop stops the timer and
-// cancels the attempt.
-func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) (overdue func(), stop context.CancelFunc) {
-	var mu sync.Mutex // one request for a retry at a time
-	var timer *time.Timer
-	overdue = func() {
-		mu.Lock()
-		defer mu.Unlock()
+// still arrive. An instance that is leaving cancels no attempt that a target may be working
+// on. The returned function stops the timer and cancels the attempt.
+func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) context.CancelFunc {
+	timer := time.AfterFunc(wait, func() {
 		if x.handler.deps.Snapshots.Current().Leaving || ctx.Err() != nil {
 			return
 		}
-		if x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
-			Number:     n,
-			Outcome:    target.TimedOut,
-			Repeatable: true,
-		}) {
+		if x.retryOverdue(ctx, n) {
 			x.retryGranted.Store(true)
 			cancel()
-			return
 		}
-		timer.Reset(overduePeriod)
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(wait, overdue)
-	return overdue, func() {
-		cancel()
+	})
+	return func() {
 		timer.Stop()
+		cancel()
 	}
 }
 
+// retryOverdue asks for a retry of attempt n, whose answer is overdue.
+func (x *exchange) retryOverdue(ctx context.Context, n int) bool {
+	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
+		Number:     n,
+		Outcome:    target.TimedOut,
+		Repeatable: true,
+	})
+}
+
 // attemptID returns the id of attempt n, which the target echoes in its answer.
 func (x *exchange) attemptID(n int) string {
 	if x.handler.dialect.ForwardCallerIDs {
@@ -336,6 +288,8 @@
 
 // spendGrant spends the grant. It does so once for all attempts of a request.
 func (x *exchange) spendGrant() error {
+	x.grantMu.Lock()
+	defer x.grantMu.Unlock()
 	if x.grant == nil || x.grantSpent {
 		return nil
 	}
@@ -350,21 +304,31 @@
 	began    time.Time
 	// id is the attempt's id, which the target echoes.
 	id string
-	// cancel ends the attempt's context.
+	// request is what is sent, and newConnection whether that needs a new connection.
+	request       *http.Request
+	newConnection bool
+	// ctx is the attempt's context, and cancel ends it.
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // send sends the attempt and returns its outcome.
-func (p *placedAttempt) send(ctx context.Context) attemptOutcome {
+func (p *placedAttempt) send() attemptOutcome {
+	outcome := p.exchangeWithTarget()
+	if failed, ok := outcome.(failedAttempt); ok {
+		failed.target = p.slot.Target().Name
+		return failed
+	}
+	return outcome
+}
+
+func (p *placedAttempt) exchangeWithTarget() attemptOutcome {
+	ctx := p.ctx
 	result := p.exchange.handler.client.Do(ctx, forward.Attempt{
-		Address: p.slot.Target().Address,
-		Request: p.newRequest(),
-		NewConnection: !p.exchange.handler.mayReuseConnection(keepalive.Request{
-			Repeatable: p.exchange.repeatable,
-			Retry:      p.exchange.sentAttempts > 0,
-			Suspect:    p.exchange.permit.Suspect(),
-		}),
-		Gate: func() error { return p.checkBeforeSend(ctx) },
+		Address:       p.slot.Target().Address,
+		Request:       p.request,
+		NewConnection: p.newConnection,
+		Gate:          func() error { return p.checkBeforeSend(ctx) },
 	})
 	switch r := result.(type) {
 	case forward.Answered:
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -150,6 +150,9 @@
 	Counted bool
 	// Unreached is set if an earlier attempt didn't reach its target.
 	Unreached bool
+	// Beside is set if an earlier attempt is still in progress. Then only a target with room
+	// is of use.
+	Beside bool
 	// Deadline is when the request must have ended.
 	Deadline time.Time
 	// Permit is the permit that the request runs with.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -384,10 +384,9 @@
 	is.Equal(env.executions("e1"), 0)
 }
 
-// All targets are slow, so cancelling an overdue attempt gains nothing. It must be
-// cancelled only if the retry that replaces it is granted, and not while the
-// instance is leaving.
-func TestOverdueAttemptIsCancelledOnlyForGrantedRetry(t *testing.T) {
+// All targets are slow, so that the overdue attempt is the first to be answered. Another one
+// may run beside it only if a retry is granted, and not while the instance is leaving.
+func TestAttemptBesideAnOverdueOneIsGranted(t *testing.T) {
 	const work = 300 * time.Millisecond
 	tests := []struct {
 		name      string
@@ -432,10 +431,14 @@
 			}
 			is.Equal(env.call(http.MethodGet, "/bookings/1", "").status, http.StatusOK)
 			cancelled, arrived := uint64(0), uint64(0)
-			for _, s := range env.targets {
-				cancelled += s.Counts().Cancelled
-				arrived += s.Counts().Arrived
-			}
+			waitUntil(t, func() bool { // the target notices the cancellation after the answer
+				cancelled, arrived = 0, 0
+				for _, s := range env.targets {
+					cancelled += s.Counts().Cancelled
+					arrived += s.Counts().Arrived
+				}
+				return cancelled >= tt.cancelled
+			})
 			is.Equal(cancelled, tt.cancelled)
 			is.Equal(arrived, 1+tt.cancelled)
 		})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,9 +39,11 @@
 	deadline     time.Time
 	repeatable   bool
 
-	grant  Grant
-	claim  Claim
-	permit Permit
+	// grantMu guards grant and grantSpent while attempts run beside each other.
+	grantMu sync.Mutex
+	grant   Grant
+	claim   Claim
+	permit  Permit
 
 	// sentAttempts counts the failed attempts that were sent. Those that didn't reach
 	// their target don't count; unreached is set if there were any.
@@ -266,6 +269,8 @@
 
 // returnGrant gives the grant back if it wasn't spent.
 func (x *exchange) returnGrant() {
+	x.grantMu.Lock()
+	defer x.grantMu.Unlock()
 	if x.grant != nil && !x.grantSpent {
 		x.grant.Return()
 	}
--- /dev/null
+++ b/internal/entry/race_test.go
@@ -0,0 +1,128 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/standin"
+)
+
+// newOverdueEnv returns an environment in which answers are overdue after wait and retries
+// are granted.
+func newOverdueEnv(t *testing.T, targets int, wait time.Duration) *testEnv {
+	t.Helper()
+	env := newTestEnv(t, targets)
+	env.overdue = &overdueSettings{
+		wait:    wait,
+		granted: true,
+	}
+	return env
+}
+
+// Guards against a read that takes long and is begun anew at another target each time it is
+// overdue, until its time is over.
+func TestReadThatTakesLongIsNotBegunAnew(t *testing.T) {
+	is := is.New(t)
+	const work = 1500 * time.Millisecond
+	env := newOverdueEnv(t, 3, 600*time.Millisecond)
+	for _, s := range env.targets {
+		s.SetFaults(standin.TargetFaults{SlowFactor: float64(work / time.Millisecond)})
+	}
+	began := time.Now()
+	is.Equal(env.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+	is.True(time.Since(began) < timeout)
+}
+
+// Guards against a read that meets two targets in a row that have stopped answering, and
+// waits for them to its deadline.
+func TestReadPassesTwoUnresponsiveTargets(t *testing.T) {
+	is := is.New(t)
+	env := newOverdueEnv(t, 3, 100*time.Millisecond)
+	for _, s := range env.targets[:2] {
+		s.SetFaults(standin.TargetFaults{Hang: true})
+	}
+	for range 10 {
+		began := time.Now()
+		is.Equal(env.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+		is.True(time.Since(began) < time.Second)
+	}
+}
+
+// Guards against a write that runs at a second target because the first one is slow.
+func TestOverdueWriteRunsOnce(t *testing.T) {
+	is := is.New(t)
+	env := newOverdueEnv(t, 3, 50*time.Millisecond)
+	for _, s := range env.targets {
+		s.SetFaults(standin.TargetFaults{SlowFactor: 300})
+	}
+	is.Equal(env.call(http.MethodPost, "/bookings", "tanker", withExecution("w")).status, http.StatusOK)
+	is.Equal(env.executions("w"), 1)
+}
+
+// Guards against more attempts at the same time than the route allows.
+func TestAttemptsBesideEachOtherAreBounded(t *testing.T) {
+	is := is.New(t)
+	env := newOverdueEnv(t, 4, 50*time.Millisecond)
+	env.overdue.unresponsive = 100 * time.Millisecond // the answer is overdue for two reasons
+	for i := range env.document.Routes {
+		env.document.Routes[i].Attempts = 2
+	}
+	env.publish()
+	for _, s := range env.targets {
+		s.SetFaults(standin.TargetFaults{Hang: true})
+	}
+	is.Equal(env.call(http.MethodGet, "/bookings", "", withExecution("r")).status, http.StatusGatewayTimeout)
+	is.Equal(env.executions("r"), 2)
+}
+
+// Guards against a failure of one attempt that ends the request, or an error that replaces
+// the answer, while another attempt is in progress.
+func TestAttemptGoesOnWhenTheOneBesideItFails(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.TargetFaults
+	}{
+		{"sheds", standin.TargetFaults{Shed: true}},
+		{"dies", standin.TargetFaults{Death: standin.DeathDuring}},
+		{"server error", standin.TargetFaults{GrayFraction: 1}},
+		{"breaks off", standin.TargetFaults{Truncate: standin.TruncateLength}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newOverdueEnv(t, 2, 100*time.Millisecond)
+			for i := range env.document.Routes {
+				env.document.Routes[i].Attempts = 2
+			}
+			env.publish()
+			env.targets[0].SetFaults(standin.TargetFaults{SlowFactor: 500})
+			env.targets[1].SetFaults(tt.faults)
+			for n := range 6 {
+				is.Equal(env.call(http.MethodGet, fmt.Sprint("/bookings/", n), "").status, http.StatusOK)
+				time.Sleep(2 * downtime)
+			}
+		})
+	}
+}
+
+// Guards against work at targets for a caller that has left, by all attempts.
+func TestAttemptsEndWhenTheCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	env := newOverdueEnv(t, 2, 50*time.Millisecond)
+	for _, s := range env.targets {
+		s.SetFaults(standin.TargetFaults{SlowFactor: 1500})
+	}
+	c := env.dialPipelined()
+	c.send(http.MethodGet, "/bookings", "r")
+	waitUntil(t, func() bool { return env.executions("r") == 2 })
+	_ = c.conn.Close()
+	waitUntil(t, func() bool {
+		return env.targets[0].Counts().Cancelled+env.targets[1].Counts().Cancelled == 2
+	})
+	is.Equal(env.executions("r"), 2)
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -81,7 +81,7 @@
 	x.logRelay(relay, n)
 	ctx, cancel := context.WithCancel(ctx)
 	if wait := relay.OverdueAfter(); wait > 0 && x.repeatable && x.sentAttempts+1 < x.maxSentAttempts() {
-		_, cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
+		cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
 	}
 	a := &relayAttempt{
 		exchange: x,
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -96,6 +96,7 @@
 	wanted := outlier.Request{
 		Repeatable: request.Repeatable,
 		Avoid:      request.TriedTargets,
+		Spare:      request.Beside,
 	}
 	if request.Unreached || st.links.IsImpaired(request.Service) {
 		wanted.Prefer = st.links.Contacted(now, request.Service)
@@ -113,6 +114,7 @@
 		first:           !request.Counted,
 		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
 		expected:        s.latencies.Expected(request.Route.Name, request.Route.Objective),
+		overdueAfter:    s.latencies.OverdueAfter(request.Route.Name, request.Route.Objective),
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
@@ -127,6 +129,9 @@
 		Reason:     "no-target",
 		RetryAfter: noTargetRetryAfter,
 	}
+	if request.Beside {
+		return refusal
+	}
 	g.state.withLock(func() {
 		s := g.state.services[request.Service]
 		if s == nil {
@@ -204,6 +209,7 @@
 	route           string
 	target          document.Target
 	responseTimeout time.Duration
+	overdueAfter    time.Duration
 	timer           *time.Timer
 	began           time.Duration
 	// incarnation is that of the target when it was chosen.
@@ -270,7 +276,7 @@
 func (sl *slot) Target() document.Target { return sl.target }
 
 // OverdueAfter implements entry.Slot.
-func (sl *slot) OverdueAfter() time.Duration { return sl.responseTimeout }
+func (sl *slot) OverdueAfter() time.Duration { return sl.overdueAfter }
 
 // recordOverdue records that the response is overdue, so that the target gets no further
 // requests for a while, and the other instances are told, unless the instance's own links
--- a/pkg/outlier/latencies.go
+++ b/pkg/outlier/latencies.go
@@ -13,6 +13,9 @@
 	// one request in a hundred takes three to five times the mean on a healthy target,
 	// and so exceeds the timeout unless minTimeout is longer.
 	timeoutFactor = 3
+	// overdueFactor times the expected latency of a route is how long a request waits
+	// before another attempt is made beside it.
+	overdueFactor = 2
 	// minTimeout is the shortest response timeout.
 	minTimeout = time.Second
 	// minSamples is the number of answers needed before the mean latency is used.
@@ -76,6 +79,12 @@
 	return l.ResponseTimeout(route, objective) / timeoutFactor
 }
 
+// OverdueAfter returns how long a request on the route waits for its answer before another
+// attempt is made beside it. About one in ten waits longer at a sound target.
+func (l *Latencies) OverdueAfter(route string, objective time.Duration) time.Duration {
+	return overdueFactor * l.Expected(route, objective)
+}
+
 // EffectiveOutcome returns the outcome to record for a target. A request that timed
 // out before the route's response timeout had passed is returned as Cancelled,
 // because its own short deadline says nothing about the target.
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -135,6 +135,8 @@
 	Avoid []string
 	// Prefer holds the names of targets that are chosen before others, wherever they are.
 	Prefer []string
+	// Spare is set if the request is worth sending only to a sound target with a free slot.
+	Spare bool
 }
 
 // New returns an empty table for an instance in the given zone.
@@ -170,7 +172,7 @@
 // called. It returns false if there is no target that may be used.
 func (t *Table) Choose(now time.Duration, r Request) (document.Target, bool) {
 	candidates := t.candidates(now, r)
-	if len(candidates) == 0 && len(r.Avoid) > 0 {
+	if len(candidates) == 0 && len(r.Avoid) > 0 && !r.Spare {
 		// A target that was already tried is better than none.
 		r.Avoid = nil
 		candidates = t.candidates(now, r)
@@ -200,6 +202,7 @@
 		}
 		all++
 		switch {
+		case r.Spare && s.inUse(now) >= s.Slots:
 		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
@@ -211,6 +214,9 @@
 			healthy = append(healthy, s)
 		}
 	}
+	if r.Spare {
+		return healthy
+	}
 	if r.Repeatable && len(r.Avoid) == 0 {
 		healthy = append(healthy, onProbation...)
 		onProbation = nil
