End the ejection of a target that loses single answers

Cause: the first dead connection anywhere ejects a target whatever its traffic. Now two successes of attempts that began after the one that died end the ejection; they are told to all instances. A target with a gray failure resets what comes after. TestTargetThatLosesSingleAnswersStaysInUse can't pass before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -33,6 +33,8 @@
 	// noTargetRetryAfter is the Retry-After sent to callers of a service without
 	// available targets.
 	noTargetRetryAfter = time.Second
+	// reportTimeError is by how much the times of two reports may be wrong to each other.
+	reportTimeError = 10 * time.Millisecond
 	// minRestSpread is the least time over which callers come back after all targets of a
 	// service have rested.
 	minRestSpread = 500 * time.Millisecond
@@ -268,6 +270,7 @@
 		slog.Int("Sound", sl.targetCounts.Healthy),
 		slog.Int("Doubtful", sl.targetCounts.OnProbation),
 		slog.Int("Out", sl.targetCounts.Unavailable),
+		slog.Int("Lost", sl.targetCounts.Lost),
 		slog.Duration("Patience", sl.responseTimeout),
 	}
 }
@@ -322,6 +325,7 @@
 		})
 	}
 	report := attemptReport{
+		began:   sl.began,
 		service: sl.service,
 		target:  sl.target.Name,
 		outcome: sl.effectiveOutcome(e),
@@ -345,6 +349,7 @@
 			notify = s.table.Done(boot.Now(), sl.target.Name, report.outcome)
 			if report.outcome == target.Succeeded {
 				s.latencies.Add(sl.route, e.Latency)
+				notify = s.table.LaterSuccess(boot.Now(), sl.target.Name, sl.began) || notify
 			}
 		}
 	})
@@ -396,6 +401,8 @@
 
 // attemptReport is what an attempt says about its target and its request.
 type attemptReport struct {
+	// began is when the attempt began.
+	began   time.Duration
 	service string
 	target  string
 	outcome target.Outcome
@@ -413,6 +420,9 @@
 		Target:  r.target,
 		Outcome: r.outcome,
 	}
+	if r.outcome == target.Crashed || r.outcome == target.Succeeded {
+		m.Age = max(boot.Now()-r.began, time.Millisecond)
+	}
 	if r.permit != nil && r.permit.recordStrike(r.target, r.outcome) {
 		m.Suspect = r.permit.fingerprint
 	}
@@ -567,6 +577,13 @@
 		if !m.Unresponsive {
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
 		}
+		switch {
+		case m.Age == 0:
+		case m.Outcome == target.Crashed:
+			s.table.FailureBegan(now, m.Target, now-m.Age)
+		case m.Outcome == target.Succeeded:
+			s.table.LaterSuccess(now, m.Target, now-m.Age-reportTimeError)
+		}
 		ejected = s.table.Ejected(now, m.Target)
 	})
 	if m.Unresponsive {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -127,6 +127,9 @@
 		for i, f := range actions.Blamed {
 			if s := st.services[f.Service]; s != nil {
 				notify[i] = s.table.Observe(now, f.Target, f.Report.outcome)
+				if f.Report.outcome == target.Crashed {
+					s.table.FailureBegan(now, f.Target, f.Began)
+				}
 			}
 		}
 		if len(actions.Impaired)+len(actions.Lost) > 0 {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -59,6 +59,9 @@
 	// Suspect is the fingerprint of the request whose connection to the target ended while
 	// it ran, or zero.
 	Suspect quarantine.Fingerprint
+	// Age is how long before the report the attempt began, to a millisecond; zero if that
+	// isn't told.
+	Age time.Duration
 	// Unresponsive is set if the target seems to have stopped answering, by what all
 	// instances of the sender's zone have seen.
 	Unresponsive bool
@@ -300,6 +303,7 @@
 		if m.Unresponsive {
 			b = appendNumber(b, fieldGranted, protowire.EncodeBool(true))
 		}
+		b = appendAge(b, m.Age)
 		return appendNumber(b, fieldForward, protowire.EncodeBool(m.Forward))
 	case loadReport:
 		b := appendNumber(nil, fieldType, loadReportType)
@@ -448,6 +452,7 @@
 			Service:      f.texts[fieldService],
 			Target:       f.texts[fieldName],
 			Outcome:      target.Outcome(min(f.numbers[fieldOutcome], math.MaxUint8)),
+			Age:          f.over(),
 			Unresponsive: protowire.DecodeBool(f.numbers[fieldGranted]),
 			Forward:      protowire.DecodeBool(f.numbers[fieldForward]),
 		}
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -10,7 +10,8 @@
 // After the ejection the target is on probation: it gets repeatable requests
 // first, because a request that may not be repeated is lost if the target is
 // still failing. A kept connection that dies at once may have been dropped by a healthy
-// target, so it only begins a probation.
+// target, so it only begins a probation. If attempts that began after the one whose
+// connection died succeed, the target loses single answers only, and the ejection ends.
 //
 // A server error or a truncated answer ejects a target only if the target returns more of
 // them within two seconds than the others do, since some requests fail through no fault
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -40,6 +40,10 @@
 	// maxEjectedPercent is the most percentage of the targets that are ejected before none
 	// is ejected for late answers or errors any more.
 	maxEjectedPercent = 50
+	// laterSuccesses is the number of successes, of attempts that began after the one for
+	// which a target was ejected, that end the ejection. A target with a gray failure
+	// answers a few percent of its requests.
+	laterSuccesses = 2
 	// shedPause is how long a target gets no requests after it has shed one.
 	shedPause = 300 * time.Millisecond
 	// errorWindow is how long a server error, a truncated answer or a timeout counts.
@@ -92,6 +96,10 @@
 	ejectedUntil   time.Duration
 	probationUntil time.Duration
 	successes      int
+	// failedBegan is when the attempt began for which the target was ejected last, and
+	// laterSuccesses counts the successes of attempts that began after it.
+	failedBegan    time.Duration
+	laterSuccesses int
 	// lostRequests is set if a connection died or was refused during this ejection or
 	// probation; it is false after only timeouts, truncated answers or server errors.
 	lostRequests bool
@@ -473,6 +481,31 @@
 	return false
 }
 
+// FailureBegan records when the attempt began whose connection to a target has died.
+func (t *Table) FailureBegan(now time.Duration, name string, began time.Duration) {
+	if s := t.targets[name]; s != nil && now < s.ejectedUntil && s.lostRequests {
+		s.failedBegan = max(s.failedBegan, began)
+		s.laterSuccesses = 0
+	}
+}
+
+// LaterSuccess records that an attempt which began at a time has succeeded. If its target has
+// been ejected meanwhile because a connection had died under an earlier attempt, it may
+// lose single answers only. LaterSuccess reports whether the success counts for that, so
+// that the other instances should be told.
+func (t *Table) LaterSuccess(now time.Duration, name string, began time.Duration) bool {
+	s := t.targets[name]
+	if s == nil || now >= s.ejectedUntil || !s.lostRequests || began <= s.failedBegan {
+		return false
+	}
+	s.laterSuccesses++
+	if s.laterSuccesses >= laterSuccesses {
+		s.lostRequests = false
+		s.ejectedUntil, s.probationUntil = now, now
+	}
+	return true
+}
+
 // recordError records a failure that doesn't eject the target by itself. It ejects the
 // target if that has had many more of them within errorWindow than the others. Failures
 // during an ejection are of requests sent before it, and don't prolong it.
@@ -563,6 +596,8 @@
 	OnProbation int
 	// Unavailable counts targets that are ejected or paused after shedding a request.
 	Unavailable int
+	// Lost counts those of them that lost requests.
+	Lost int
 	// Held counts targets that may take no more requests of this instance for now, and
 	// Resting those that want none.
 	Held    int
@@ -583,6 +618,9 @@
 			c.Held++
 		case now < s.ejectedUntil || now < s.pausedUntil:
 			c.Unavailable++
+			if now < s.ejectedUntil && s.lostRequests {
+				c.Lost++
+			}
 		case now < s.probationUntil:
 			c.OnProbation++
 		default:
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -593,3 +593,60 @@
 		})
 	}
 }
+
+// Guards against a target that is out of use for seconds because it lost a single answer.
+// One that fails most requests stays ejected.
+func TestTargetThatLosesSingleAnswersStaysInUse(t *testing.T) {
+	const (
+		failedBegan = now - 400*time.Millisecond
+		later       = failedBegan + 100*time.Millisecond
+	)
+	tests := []struct {
+		name    string
+		observe func(*outlier.Table)
+		inUse   bool
+	}{
+		{
+			name:    "nothing more is known",
+			observe: func(*outlier.Table) {},
+		},
+		{
+			name: "two later attempts succeed",
+			observe: func(t *outlier.Table) {
+				t.LaterSuccess(now, "desk-03", later)
+				t.LaterSuccess(now, "desk-03", later)
+			},
+			inUse: true,
+		},
+		{
+			name:    "one later attempt succeeds",
+			observe: func(t *outlier.Table) { t.LaterSuccess(now, "desk-03", later) },
+		},
+		{
+			name: "earlier attempts succeed",
+			observe: func(t *outlier.Table) {
+				t.LaterSuccess(now, "desk-03", failedBegan-time.Millisecond)
+				t.LaterSuccess(now, "desk-03", failedBegan-time.Millisecond)
+			},
+		},
+		{
+			name: "a later attempt fails between two successes",
+			observe: func(t *outlier.Table) {
+				t.LaterSuccess(now, "desk-03", later)
+				t.ReceiveOutcome(now, "desk-03", target.Crashed)
+				t.FailureBegan(now, "desk-03", later)
+				t.LaterSuccess(now, "desk-03", later)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(11)
+			table.ReceiveOutcome(now, "desk-03", target.Crashed)
+			table.FailureBegan(now, "desk-03", failedBegan)
+			tt.observe(table)
+			is.Equal(chosen(table, now, outlier.Request{})["desk-03"] > 0, tt.inUse)
+		})
+	}
+}
