Move overdue reads to another instance once the links to targets are lost

What callers saw: a read that was sent at the moment when its instance lost its links waited 5 s, its route's whole time, and ended with 503 or 504, although other instances could serve it.

Cause: since attempts run beside overdue ones, a granted retry was dropped if its attempt couldn't begin beside the first: because the links are lost, so that it would go through another instance, or because no other target had room. Nothing asked again. The log shows "retry asked for Granted=true" 2 s after the attempt, and no attempt.

Now attempts in progress end when the links are lost, the next one goes through another instance, and is due as soon as the loss is known; without room it is tried again. A retry that is granted is used once. No attempt begins once the request's time is over.

TestOverdueReadGoesThroughAnotherInstance and TestOverdueReadIsRetriedOnceThereIsRoom failed before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -90,6 +90,8 @@
 	switch {
 	case x.sentAttempts >= x.maxSentAttempts(), n >= maxAttempts, ctx.Err() != nil, failure.outcome == target.Cancelled:
 		return false
+	case !time.Now().Before(x.deadline):
+		return false
 	case failure.mayHaveRun && !x.repeatable:
 		return false
 	case x.retryGranted.Swap(false), granted:
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -30,6 +30,10 @@
 	// beside the one in progress.
 	ended   chan endedAttempt
 	granted chan struct{}
+	// unused is set if a retry was granted and no attempt has begun with it yet. again
+	// receives when to try again to begin it.
+	unused bool
+	again  chan struct{}
 	// blocked is set if no attempt may follow because of what the quarantine says.
 	blocked bool
 	// last is the failure that the caller is told of unless a later one replaces it.
@@ -61,15 +65,17 @@
 		running:  map[int]*runningAttempt{},
 		ended:    make(chan endedAttempt, maxRunning),
 		granted:  make(chan struct{}, 1),
+		again:    make(chan struct{}, 1),
 	}
 	defer r.abandon()
 	r.start(false)
 	for {
 		select {
 		case <-r.granted:
-			if !r.blocked && r.hasRoom() {
-				r.start(true)
-			}
+			r.unused = true
+			r.startBeside()
+		case <-r.again:
+			r.startBeside()
 		case e := <-r.ended:
 			r.stopWatching(e.number)
 			switch outcome := e.outcome.(type) {
@@ -114,21 +120,53 @@
 
 // mayGoOn reports whether another attempt may follow the last one.
 func (r *race) mayGoOn() bool {
-	granted := false
 	select {
 	case <-r.granted:
-		granted = true
+		r.unused = true
+	default:
+	}
+	if r.blocked || !r.exchange.shouldRetry(r.ctx, r.begun, r.last, r.unused) {
+		return false
+	}
+	r.unused = false
+	return true
+}
+
+// startBeside begins an attempt beside those in progress if a retry was granted.
+func (r *race) startBeside() {
+	if r.unused && !r.blocked && r.hasRoom() {
+		r.start(true)
+	}
+}
+
+// startLater tries again later to begin an attempt beside those in progress.
+func (r *race) startLater() { time.AfterFunc(overduePeriod, func() { signal(r.again) }) }
+
+// signal sends to a channel unless it is full.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
 	default:
 	}
-	return !r.blocked && r.exchange.shouldRetry(r.ctx, r.begun, r.last, granted)
 }
 
 // start begins the next attempt: at a target, or through another instance if this one has
-// no links to the targets. beside says that another one is in progress.
+// no links to the targets. beside says that another one is in progress. It ends if its links
+// are lost, and the next attempt replaces it.
 func (r *race) start(beside bool) {
 	x := r.exchange
 	relay, err := x.acquireRelay(r.ctx)
-	if beside && (err != nil || relay != nil) {
+	switch {
+	case beside && err != nil:
+		r.startLater()
+		return
+	case beside && relay != nil:
+		relay.Release(RelayResult{
+			Outcome: RelayAbandoned,
+		})
+		for _, a := range r.running {
+			a.placed.cancel()
+		}
 		return
 	}
 	r.begun++
@@ -143,11 +181,14 @@
 	p, failed := x.place(r.ctx, r.begun, beside)
 	switch {
 	case failed != nil && beside:
+		r.begun--
+		r.startLater()
 		return
 	case failed != nil:
 		r.end(*failed)
 		return
 	}
+	r.unused = false
 	wait := p.slot.OverdueAfter()
 	if !x.repeatable || wait <= 0 || x.permit.Suspect() {
 		r.end(p.send())
@@ -194,10 +235,7 @@
 			return
 		}
 		a.granted = true
-		select {
-		case r.granted <- struct{}{}:
-		default:
-		}
+		signal(r.granted)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/race_test.go
+++ b/internal/entry/race_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/entry"
 	"dandelionmux/internal/standin"
 )
 
@@ -126,3 +128,70 @@
 	})
 	is.Equal(env.executions("r"), 2)
 }
+
+// lostLinks are the relays of an instance that loses its links to the targets at a time.
+type lostLinks struct {
+	*fakeRelays
+	lostAt time.Time
+}
+
+func (l lostLinks) Acquire(ctx context.Context, r entry.RelayRequest) (entry.Relay, error) {
+	if time.Now().Before(l.lostAt) {
+		return nil, nil
+	}
+	return l.fakeRelays.Acquire(ctx, r)
+}
+
+// Guards against a read that waits for a target to its deadline because the links to the
+// targets were lost meanwhile, though another instance could serve it.
+func TestOverdueReadGoesThroughAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	e := newRelayEnv(t, 2, 1)
+	e.overdue = &overdueSettings{
+		wait:    200 * time.Millisecond,
+		granted: true,
+	}
+	links := lostLinks{
+		fakeRelays: e.relays,
+		lostAt:     time.Now().Add(100 * time.Millisecond),
+	}
+	s := serveCallers(t, entry.New(entry.Dependencies{
+		Snapshots:  e,
+		Admission:  e.admission,
+		Claims:     e.claims,
+		Dispatcher: e,
+		Quarantine: e.quarantine,
+		Relays:     links,
+	}))
+	for _, target := range e.targets {
+		target.SetFaults(standin.TargetFaults{Hang: true})
+	}
+	time.AfterFunc(150*time.Millisecond, func() {
+		for _, target := range e.targets {
+			target.SetFaults(standin.TargetFaults{})
+		}
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.address+"/bookings", nil)
+	is.NoErr(err)
+	r.Header.Set("X-Api-Key", key)
+	began := time.Now()
+	is.Equal(do(s.client, r).status, http.StatusOK)
+	is.True(time.Since(began) < time.Second)
+	is.Equal(e.relays.outcomes, []entry.RelayOutcome{entry.RelayAbandoned, entry.RelayAnswered})
+}
+
+// Guards against a read that stays at a target that has stopped answering because no other
+// had room at the moment when a retry was granted, and against a second grant for it.
+func TestOverdueReadIsRetriedOnceThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	env := newOverdueEnv(t, 2, 100*time.Millisecond)
+	env.targets[0].SetFaults(standin.TargetFaults{Hang: true})
+	for range 4 {
+		env.overdue.retries.Store(0)
+		env.overdue.noRoom.Store(2)
+		began := time.Now()
+		is.Equal(env.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+		is.True(time.Since(began) < timeout)
+		is.True(env.overdue.retries.Load() <= 1)
+	}
+}
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -183,6 +183,11 @@
 
 // Acquire implements entry.Dispatcher.
 func (e *testEnv) Acquire(ctx context.Context, want entry.SlotRequest) (entry.Slot, error) {
+	if want.Beside && e.overdue != nil && e.overdue.noRoom.Add(-1) >= 0 {
+		return nil, &entry.Refusal{
+			Status: http.StatusServiceUnavailable,
+		}
+	}
 	slot, err := e.dispatch.Acquire(ctx, want)
 	if err == nil && e.restsOnce.Swap(false) {
 		return restingSlot{
@@ -202,6 +207,7 @@
 // Retry implements entry.Dispatcher.
 func (e *testEnv) Retry(ctx context.Context, service string, failed retry.Attempt) bool {
 	if e.overdue != nil {
+		e.overdue.retries.Add(1)
 		return e.overdue.granted && e.overdue.refusals.Add(-1) < 0
 	}
 	return e.dispatch.Retry(ctx, service, failed)
@@ -212,8 +218,11 @@
 type overdueSettings struct {
 	wait    time.Duration
 	granted bool
-	// refusals is how many retries are refused before.
+	// refusals is how many retries are refused before, and retries how many were asked for.
 	refusals atomic.Int64
+	retries  atomic.Int64
+	// noRoom is how many attempts beside others find no target.
+	noRoom atomic.Int64
 	// unresponsive is when targets seem to have stopped answering; never if zero.
 	unresponsive time.Duration
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -132,6 +132,11 @@
 				}
 			}
 		}
+		for _, name := range actions.Lost {
+			if s := st.services[name]; s != nil {
+				s.inFlight.notifyAll()
+			}
+		}
 		if len(actions.Impaired)+len(actions.Lost) > 0 {
 			st.wakeWaiters()
 		}
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -155,6 +155,10 @@
 					is.True(out.took < maxWait)
 					is.Equal(f.runs(out.execution), 0)
 				}
+				if out.method == http.MethodGet {
+					is.Equal(out.status, http.StatusOK)
+					is.True(out.took < noticeTime+maxWait)
+				}
 				is.True(out.method == http.MethodGet || f.runs(out.execution) <= 1)
 			}
 		})
--- a/internal/gateway/unresponsive.go
+++ b/internal/gateway/unresponsive.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// notifyAll tells the attempts at all targets that these seem to have stopped answering.
+func (f inFlight) notifyAll() {
+	for name := range f {
+		f.notify(name)
+	}
+}
+
 // OnUnresponsive implements entry.Slot.
 func (sl *slot) OnUnresponsive(f func()) {
 	sl.gateway.state.withLock(func() { sl.onUnresponsive = f })
