--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -46,6 +46,7 @@
 	flags.StringVar(&load.KeyHeader, "key-header", "X-Api-Key", "header that carries the key")
 	flags.IntVar(&load.BodyBytes, "body", 0, "length of each request's body, bytes")
 	flags.BoolVar(&load.Keyed, "keyed", false, "give each request a unique Idempotency-Key")
+	flags.IntVar(&load.Pipeline, "pipeline", 1, "requests that are sent on a connection before the first is answered, at most 1000; without bodies")
 	flags.IntVar(&load.Resends, "resends", 0, "how often a request without a complete answer is sent again")
 	flags.BoolVar(&load.Crash, "crash", false, "mark the requests so that they crash the targets that execute them")
 	flags.IntVar(&load.Count, "count", 0, "maximum number of requests; 0 means that only -duration limits them")
--- a/cmd/standin/load_test.go
+++ b/cmd/standin/load_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestCommandsRejectInvalidArguments(t *testing.T) {
-	for _, line := range []string{"", "store extra -listen", "targets -count 0", "targets -slots 0", "load", "load -caller x", "list -lag x"} {
+	for _, line := range []string{"", "store extra -listen", "targets -count 0", "targets -slots 0", "load", "load -caller x", "load -entry x -caller a:b:1 -pipeline 1001", "load -entry x -caller a:b:1 -pipeline 2 -body 1", "list -lag x"} {
 		is := is.New(t)
 		root := rootCommand()
 		for _, c := range root.Subcommands {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -22,6 +22,7 @@
 	maximumLoadCount    = 5_000_000
 	maximumLoadDuration = time.Hour
 	maximumResends      = 100
+	maximumPipeline     = 1000
 	defaultConcurrency  = 256
 	defaultTimeout      = 10 * time.Second
 )
@@ -65,6 +66,10 @@
 	Count int
 	// Duration is the time during which requests are sent.
 	Duration time.Duration
+	// Pipeline is the number of requests that are sent on a connection before the first of
+	// them is answered; one or less means that each waits for the answer before. Such
+	// requests have no body.
+	Pipeline int
 	// Concurrency is the maximum number of requests in flight. Requests beyond
 	// it are skipped and counted. 256 by default.
 	Concurrency int
@@ -134,6 +139,9 @@
 	if l.Resends < 0 || l.Resends > maximumResends {
 		return errors.Wrapf(ErrLoad, "%d resends are not within 0 to %d", l.Resends, maximumResends)
 	}
+	if l.Pipeline < 0 || l.Pipeline > maximumPipeline || l.Pipeline > 1 && l.BodyBytes > 0 {
+		return errors.Wrapf(ErrLoad, "pipeline of %d is not within 0 to %d and without bodies", l.Pipeline, maximumPipeline)
+	}
 	for _, c := range l.Callers {
 		if c.PerSecond <= 0 || c.PerSecond > 100_000 {
 			return errors.Wrapf(ErrLoad, "organisation %q: rate %v a second is not above 0 and at most 100000", c.Organisation, c.PerSecond)
@@ -167,6 +175,12 @@
 	dialer := &net.Dialer{
 		Timeout: time.Second,
 	}
+	if l.Pipeline > 1 {
+		return &http.Client{
+			Timeout:   l.Timeout,
+			Transport: newPipelinedTransport(l.Pipeline, dialer.DialContext),
+		}
+	}
 	return &http.Client{
 		Timeout: l.Timeout,
 		Transport: &http.Transport{
