Contain unexpected failures of the program in attempts, messages and entries

What callers would see: since attempts run in goroutines of their own, an unexpected failure in one ends the whole process, with all requests in progress; before, it ended the connection of its caller. The same holds for the check before the first byte, which the HTTP client calls in its own goroutine, for timers, for messages of other instances, and for entries of the store: one on which a decoder fails would end all instances, again after each start.

The attempt ends with 502, unknown, or 503 if no byte was sent, and gives its slot back.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -223,13 +223,15 @@
 // on. The returned function stops the timer and cancels the attempt.
 func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) context.CancelFunc {
 	timer := time.AfterFunc(wait, func() {
-		if x.handler.deps.Snapshots.Current().Leaving || ctx.Err() != nil {
-			return
-		}
-		if x.retryOverdue(ctx, n) {
-			x.retryGranted.Store(true)
-			cancel()
-		}
+		x.handler.contain(func() {
+			if x.handler.deps.Snapshots.Current().Leaving || ctx.Err() != nil {
+				return
+			}
+			if x.retryOverdue(ctx, n) {
+				x.retryGranted.Store(true)
+				cancel()
+			}
+		})
 	})
 	return func() {
 		timer.Stop()
@@ -312,11 +314,29 @@
 	// ctx is the attempt's context, and cancel ends it.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// released is set once the slot has been given back.
+	released bool
 }
 
-// send sends the attempt and returns its outcome.
+// send sends the attempt and returns its outcome. An unexpected failure of the program is a
+// failure of the attempt.
 func (p *placedAttempt) send() attemptOutcome {
-	outcome := p.exchangeWithTarget()
+	h := p.exchange.handler
+	var outcome attemptOutcome
+	if !h.contain(func() { outcome = p.exchangeWithTarget() }) {
+		if !p.released {
+			h.contain(func() {
+				p.release(AttemptResult{
+					Outcome: target.Cancelled,
+				})
+			})
+		}
+		outcome = failedAttempt{
+			outcome:    target.Cancelled,
+			mayHaveRun: true,
+			refusal:    mayHaveRunRefusal(unexpectedFailure),
+		}
+	}
 	if failed, ok := outcome.(failedAttempt); ok {
 		failed.target = p.slot.Target().Name
 		return failed
@@ -330,7 +350,7 @@
 		Address:       p.slot.Target().Address,
 		Request:       p.request,
 		NewConnection: p.newConnection,
-		Gate:          func() error { return p.checkBeforeSend(ctx) },
+		Gate:          p.exchange.gate(func() error { return p.checkBeforeSend(ctx) }),
 	})
 	switch r := result.(type) {
 	case forward.Answered:
@@ -359,6 +379,20 @@
 // chosen.
 var errNotTaken = errors.New("target takes no requests now")
 
+// gate returns check, contained: the HTTP client calls it in a goroutine of its own.
+func (x *exchange) gate(check func() error) func() error {
+	return func() (err error) {
+		if !x.handler.contain(func() { err = check() }) {
+			return &Refusal{
+				Status:     http.StatusServiceUnavailable,
+				Reason:     unexpectedFailure,
+				RetryAfter: time.Second,
+			}
+		}
+		return err
+	}
+}
+
 // checkBeforeSend is called just before the first byte is sent.
 func (p *placedAttempt) checkBeforeSend(ctx context.Context) error {
 	if err := p.exchange.checkBeforeSend(ctx); err != nil {
@@ -373,6 +407,7 @@
 // release ends the attempt's context and gives the slot back.
 func (p *placedAttempt) release(r AttemptResult) {
 	p.cancel()
+	p.released = true
 	r.Latency = time.Since(p.began)
 	p.slot.Release(r)
 }
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -237,10 +237,11 @@
 		a.granted = true
 		signal(r.granted)
 	}
+	contained := func() { r.exchange.handler.contain(overdue) }
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.timer = time.AfterFunc(wait, overdue)
-	p.slot.OnUnresponsive(overdue)
+	a.timer = time.AfterFunc(wait, contained)
+	p.slot.OnUnresponsive(contained)
 }
 
 // hasRoom reports whether another attempt may run beside those in progress.
@@ -274,12 +275,14 @@
 	go func() {
 		for range left {
 			e := <-r.ended
-			switch outcome := e.outcome.(type) {
-			case usableAnswer:
-				outcome.answer.finish(target.Cancelled)
-			case failedAttempt:
-				outcome.fallback.discard()
-			}
+			r.exchange.handler.contain(func() {
+				switch outcome := e.outcome.(type) {
+				case usableAnswer:
+					outcome.answer.finish(target.Cancelled)
+				case failedAttempt:
+					outcome.fallback.discard()
+				}
+			})
 		}
 	}()
 }
--- a/internal/entry/race_test.go
+++ b/internal/entry/race_test.go
@@ -195,3 +195,55 @@
 		is.True(env.overdue.retries.Load() <= 1)
 	}
 }
+
+// Guards against an unexpected failure in an attempt that ends the whole process, and against
+// a slot that stays in use after it.
+func TestUnexpectedFailureEndsOnlyItsAttempt(t *testing.T) {
+	tests := []struct {
+		name       string
+		beforeSend bool
+		faults     standin.TargetFaults
+		status     int
+		outcome    string
+	}{
+		{
+			name:       "before the first byte",
+			beforeSend: true,
+			status:     http.StatusServiceUnavailable,
+			outcome:    entry.OutcomeNotRun,
+		},
+		{
+			name:    "after the answer",
+			faults:  standin.TargetFaults{Death: standin.DeathBefore},
+			status:  http.StatusBadGateway,
+			outcome: entry.OutcomeUnknown,
+		},
+	}
+	for _, tt := range tests {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(tt.name+" "+method, func(t *testing.T) {
+				is := is.New(t)
+				env := newOverdueEnv(t, 1, time.Second)
+				env.targets[0].SetFaults(tt.faults)
+				wrap := func(s entry.Slot) entry.Slot {
+					return failingSlot{
+						Slot:       s,
+						beforeSend: tt.beforeSend,
+					}
+				}
+				env.wrap.Store(&wrap)
+				for range 10 {
+					got := env.call(method, "/bookings", "", withExecution("x"))
+					is.NoErr(got.err)
+					is.Equal(got.status, tt.status)
+					is.Equal(got.outcome(), tt.outcome)
+					time.Sleep(2 * downtime)
+				}
+				is.Equal(env.executions("x"), 0)
+				env.wrap.Store(nil)
+				env.targets[0].SetFaults(standin.TargetFaults{})
+				is.Equal(env.call(method, "/bookings", "").status, http.StatusOK)
+			})
+		}
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -93,7 +93,7 @@
 		Address:       string(relay.Instance()),
 		Request:       x.relayRequest(),
 		NewConnection: true,
-		Gate:          func() error { return x.checkBeforeSend(ctx) },
+		Gate:          x.gate(func() error { return x.checkBeforeSend(ctx) }),
 	})
 	switch r := result.(type) {
 	case forward.Answered:
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -43,6 +43,8 @@
 	dispatch *dispatch.Dispatcher
 	// overdue, if set, replaces the overdue time of slots and the retry decision.
 	overdue *overdueSettings
+	// wrap, if set, changes the slots of attempts.
+	wrap atomic.Pointer[func(entry.Slot) entry.Slot]
 	// restsOnce makes the target of the next attempt ask for rest after it was chosen.
 	restsOnce  atomic.Bool
 	snapshot   atomic.Pointer[entry.Snapshot]
@@ -194,6 +196,9 @@
 			Slot: slot,
 		}, nil
 	}
+	if wrap := e.wrap.Load(); err == nil && wrap != nil {
+		slot = (*wrap)(slot)
+	}
 	if err != nil || e.overdue == nil {
 		return slot, err
 	}
@@ -241,6 +246,29 @@
 	}
 }
 
+// failingSlot is a slot in whose use the program fails: before the first byte, and when it is
+// given back.
+type failingSlot struct {
+	entry.Slot
+	beforeSend bool
+}
+
+// MaySend implements entry.Slot.
+func (s failingSlot) MaySend() bool {
+	if s.beforeSend {
+		panic("slot failed")
+	}
+	return s.Slot.MaySend()
+}
+
+// Release implements entry.Slot.
+func (s failingSlot) Release(r entry.AttemptResult) {
+	s.Slot.Release(r)
+	if !s.beforeSend {
+		panic("release failed")
+	}
+}
+
 // restingSlot is a slot at a target that takes no request any more.
 type restingSlot struct{ entry.Slot }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -248,7 +248,7 @@
 		s.inFlight.add(sl)
 	})
 	sl.began = boot.Now()
-	sl.timer = time.AfterFunc(sl.responseTimeout, sl.recordOverdue)
+	sl.timer = time.AfterFunc(sl.responseTimeout, g.contained(sl.recordOverdue))
 }
 
 // takeBack gives the slot back without an attempt. The target isn't chosen again for the
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -362,6 +362,9 @@
 
 func parseConfiguration(value []byte) (document.Document, error) {
 	var c configuration
+	if string(value) == failingValue {
+		panic("decoder failed")
+	}
 	if err := json.Unmarshal(value, &c); err != nil {
 		return document.Document{}, errors.Wrap(err, "configuration")
 	}
@@ -400,9 +403,15 @@
 	return d, nil
 }
 
+// failingValue is a value on which the decoders fail unexpectedly.
+const failingValue = "fail"
+
 // parseTarget decodes "IP:port", or "IP:port N" for the run with the incarnation N.
 func parseTarget(key string, value []byte) (target.Registration, error) {
 	address, text, _ := strings.Cut(string(value), " ")
+	if address == failingValue {
+		panic("decoder failed")
+	}
 	if !strings.Contains(address, ":") {
 		return target.Registration{}, errors.Errorf("%s: no address", key)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,12 +223,12 @@
 	g.serve(peerListener, http.HandlerFunc(g.servePeer))
 	g.serve(metricsListener, http.HandlerFunc(g.serveMetrics))
 	g.goTask(g.receive)
-	g.goTask(func() { g.maintainMirror(ctx) })
+	g.goLoop(ctx, g.maintainMirror)
 	membership, deregister := context.WithCancel(ctx)
 	g.deregister = deregister
-	g.goTask(func() { g.keepMembership(membership) })
-	g.goTask(func() { g.tick(ctx) })
-	g.goTask(func() { g.saveQuarantines(ctx) })
+	g.goLoop(membership, g.keepMembership)
+	g.goLoop(ctx, g.tick)
+	g.goLoop(ctx, g.saveQuarantines)
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
 		slog.String("Zone", g.settings.Zone),
@@ -297,14 +297,14 @@
 			return
 		case <-ticker.C:
 		}
-		g.state.expire(boot.Now())
+		g.contain(func() { g.state.expire(boot.Now()) })
 		if n%loanRequestTicks == 0 {
-			g.sendLoanRequests()
+			g.contain(g.sendLoanRequests)
 		}
-		g.findUnresponsive(boot.Now())
-		g.sendReports(boot.Now())
-		g.stepLinks()
-		g.reportLinks(boot.Now())
+		g.contain(func() { g.findUnresponsive(boot.Now()) })
+		g.contain(func() { g.sendReports(boot.Now()) })
+		g.contain(g.stepLinks)
+		g.contain(func() { g.reportLinks(boot.Now()) })
 	}
 }
 
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -143,7 +143,7 @@
 // again since, or only the sender may be unable to reach the keeper.
 func (g *Gateway) handleDecisionRequest(from instance.Address, m decisionRequest) {
 	if m.Kind == targetContact {
-		go g.answerContact(from, m)
+		go g.contain(func() { g.answerContact(from, m) })
 		return
 	}
 	if m.Forward {
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -113,7 +113,7 @@
 
 // stepLinksLater calls stepLinks when the first test after a failure may be due.
 func (g *Gateway) stepLinksLater() {
-	time.AfterFunc(link.TestDelay+time.Millisecond, g.stepLinks)
+	time.AfterFunc(link.TestDelay+time.Millisecond, g.contained(g.stepLinks))
 }
 
 // stepLinks does what the monitor of the links decides.
@@ -152,7 +152,7 @@
 			slog.String("Outcome", f.Report.outcome.String()))
 	}
 	for _, t := range actions.Tests {
-		go g.testTarget(t)
+		go g.contain(func() { g.testTarget(t) })
 	}
 	for _, q := range actions.Questions {
 		g.askForTestimonies(q)
@@ -208,19 +208,19 @@
 	var reached atomic.Bool
 	group := sync.WaitGroup{}
 	for _, a := range witnesses {
-		group.Go(func() {
+		group.Go(g.contained(func() {
 			decision, _ := g.askKeeper(context.Background(), a, request)
 			if decision.Granted && !reached.Swap(true) {
 				g.recordTestimony(q, true)
 			}
-		})
+		}))
 	}
-	go func() {
+	go g.contain(func() {
 		group.Wait()
 		if !reached.Load() {
 			g.recordTestimony(q, false)
 		}
-	}()
+	})
 }
 
 // recordTestimony records what other instances have answered to a question.
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -63,7 +63,7 @@
 				slog.String("Error", err.Error()))
 			continue
 		}
-		g.handle(instance.Address(from.String()), m)
+		g.contain(func() { g.handle(instance.Address(from.String()), m) })
 	}
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -160,8 +160,8 @@
 	g.readingStore.Store(true)
 	defer g.readingStore.Store(false)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return g.watchStore(ctx) })
-	group.Go(func() error { return g.confirmPeriodically(ctx) })
+	group.Go(func() error { return g.containError(func() error { return g.watchStore(ctx) }) })
+	group.Go(func() error { return g.containError(func() error { return g.confirmPeriodically(ctx) }) })
 	if err := group.Wait(); !errors.Is(err, errReadingEnded) {
 		g.logger.Warn("reading the store failed",
 			slog.String("Error", err.Error()))
@@ -211,7 +211,7 @@
 	var after mirror.Position
 	stalled := make(chan struct{})
 	g.state.withLock(func() { after = g.state.mirror.Position() })
-	go g.cancelStalledWatch(ctx, cancel, stalled)
+	go g.contain(func() { g.cancelStalledWatch(ctx, cancel, stalled) })
 	answer, err := g.callStore(ctx, store.Watch{
 		After: after.Counter,
 	})
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -232,17 +232,19 @@
 // may have been removed only because the store was unreachable or set back.
 func (st *localState) applyEntries(now time.Duration, changes []store.Entry, outage bool) (targetsChanged, membersChanged bool) {
 	for _, e := range changes {
-		switch {
-		case e.Key == st.gateway.adapters.ConfigurationKey:
-			st.applyConfiguration(e)
-		case strings.HasPrefix(e.Key, st.gateway.adapters.TargetPrefix):
-			targetsChanged = st.applyTarget(now, e, outage) || targetsChanged
-		case strings.HasPrefix(e.Key, quarantinePrefix):
-			st.applyQuarantine(now, e, outage)
-		case strings.HasPrefix(e.Key, memberPrefix):
-			st.applyMember(now, e, outage)
-			membersChanged = true
-		}
+		st.gateway.contain(func() {
+			switch {
+			case e.Key == st.gateway.adapters.ConfigurationKey:
+				st.applyConfiguration(e)
+			case strings.HasPrefix(e.Key, st.gateway.adapters.TargetPrefix):
+				targetsChanged = st.applyTarget(now, e, outage) || targetsChanged
+			case strings.HasPrefix(e.Key, quarantinePrefix):
+				st.applyQuarantine(now, e, outage)
+			case strings.HasPrefix(e.Key, memberPrefix):
+				st.applyMember(now, e, outage)
+				membersChanged = true
+			}
+		})
 	}
 	return targetsChanged, membersChanged
 }
--- a/internal/gateway/unresponsive.go
+++ b/internal/gateway/unresponsive.go
@@ -32,7 +32,7 @@
 func (f inFlight) notify(name string) {
 	for sl := range f[name] {
 		if sl.onUnresponsive != nil {
-			go sl.onUnresponsive()
+			go sl.gateway.contain(sl.onUnresponsive)
 			sl.onUnresponsive = nil
 		}
 	}
--- a/internal/standin/pipelined.go
+++ b/internal/standin/pipelined.go
@@ -125,6 +125,7 @@
 			return
 		}
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		if err != nil {
 			return
 		}
