Find the next reader sooner when several lose the store without a word

In simulated fleets, when the reader and the next two in order get nothing from the store any more, the others know of a change up to 2.21 s after it: each of the three has its followers wait 0.4 s for its first confirmation. And followers are held for 0.8 s by an instance whose content is outdated meanwhile.

Now a follower is held no longer than the content may be followed, not at all by an instance that reads and gets no answers, and 0.25 s by one that is about to read. What to do with a follower's request is decided in package source, which the simulated fleets now play; before, they had their own copy of it, and another greatest age (1.1 s) than the gateway (1.4 s). The tests' bound on the usual age stays 1.1 s.

--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -17,22 +17,17 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/mirror"
+	"dandelionmux/pkg/source"
 	"dandelionmux/pkg/store"
 )
 
 // Limits of copying a mirror.
 const (
-	// longPollTimeout is how long an instance waits for a change or a new confirmation
-	// before it answers without one.
-	longPollTimeout = 800 * time.Millisecond
-	// takeoverTimeout is how long an instance that is to read the store next waits for its
-	// first confirmation before it answers that it has none.
-	takeoverTimeout = 400 * time.Millisecond
 	// minCompressedBytes is the least size of entries that are worth compressing.
 	minCompressedBytes = 4 << 10
-	// copyTimeout bounds the wait for a reader's answer. Instances have only a part of
-	// a CPU core and may stall for a while.
-	copyTimeout = longPollTimeout + 400*time.Millisecond
+	// copyTimeout bounds the wait for a reader's answer, which may be held for two thirds of
+	// it. Instances have only a part of a CPU core and may stall for a while.
+	copyTimeout = 1200 * time.Millisecond
 	// peerDialTimeout bounds connecting to an instance of the same zone.
 	peerDialTimeout = 300 * time.Millisecond
 	// maxCopyBytes bounds an answer. It has room for a configuration of 1 MB and
@@ -136,10 +131,8 @@
 	return known
 }
 
-// serveMirror answers with the changes after a position. It waits until there are any or the
-// mirror is confirmed anew, up to longPollTimeout. An instance whose last confirming read
-// is too old answers 503, so that followers choose another one, unless it is about to read
-// the store.
+// serveMirror answers with the changes after a position, when package source decides so. An
+// instance that isn't to be followed answers 503, so that followers choose another one.
 func (g *Gateway) serveMirror(w http.ResponseWriter, r *http.Request) {
 	after, err := parsePosition(r.URL.Query())
 	if err != nil {
@@ -149,20 +142,18 @@
 	known := parseConfirmation(r.URL.Query())
 	arrivedAt := boot.Now()
 	for {
-		c, ready, changed := g.lookAtMirror(after, known, arrivedAt)
-		if ready {
+		c, reply, changed := g.lookAtMirror(after, known, arrivedAt)
+		var timer *time.Timer
+		switch reply := reply.(type) {
+		case source.Give:
 			g.answerMirror(w, r, after, c)
 			return
-		}
-		if changed == nil {
+		case source.Decline:
 			http.Error(w, errOutdated.Error(), http.StatusServiceUnavailable)
 			return
+		case source.Hold:
+			timer = time.NewTimer(reply.Until - boot.Now())
 		}
-		timeout := takeoverTimeout
-		if c.Confirmed {
-			timeout = longPollTimeout
-		}
-		timer := time.NewTimer(arrivedAt + timeout - boot.Now())
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -174,31 +165,28 @@
 	}
 }
 
-// lookAtMirror returns what a follower may be answered without the entries, and whether it
-// is to be answered now. If not, changed is closed when something has changed; it is nil if
-// the instance can't be followed. The answer's Confirmed says that the confirming read is
-// recent.
-func (g *Gateway) lookAtMirror(after mirror.Position, known uint64, arrivedAt time.Duration) (c mirrorCopy, ready bool, changed chan struct{}) {
+// lookAtMirror returns what a follower may be answered without the entries, what to do with
+// its request, and a channel that is closed when something has changed.
+func (g *Gateway) lookAtMirror(after mirror.Position, known uint64, arrivedAt time.Duration) (mirrorCopy, source.Reply, chan struct{}) {
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := boot.Now()
 	confirmedAt, confirmed := st.mirror.ConfirmedAt()
-	c = mirrorCopy{
+	c := mirrorCopy{
 		ConfirmationAge: now - confirmedAt,
-		Confirmed:       confirmed && now-confirmedAt <= maxReaderConfirmationAge,
+		Confirmed:       confirmed && now-confirmedAt <= source.MaxAge,
 		Held:            now - arrivedAt,
 		Confirmation:    uint64(max(confirmedAt.Microseconds(), 0)),
 	}
-	if c.Confirmed {
-		ready = st.mirror.IsAfter(after) || c.Confirmation != known || c.Held >= longPollTimeout
-		return c, ready, st.mirrorChanged
-	}
-	first := st.source.First(now)
-	if (first == "" || first == g.self.Address) && c.Held < takeoverTimeout && !g.leaving.Load() {
-		return c, false, st.mirrorChanged
-	}
-	return c, false, nil
+	reply := st.source.Answer(now, arrivedAt, source.Content{
+		ConfirmedAt: confirmedAt,
+		Confirmed:   confirmed,
+		News:        st.mirror.IsAfter(after) || c.Confirmation != known,
+		Reading:     g.readingStore.Load(),
+		Leaving:     g.leaving.Load(),
+	})
+	return c, reply, st.mirrorChanged
 }
 
 // answerMirror sends what changed in the mirror after a position. The entries are encoded
@@ -299,8 +287,8 @@
 	if c.At.Era < after.Era {
 		return errors.Wrapf(errOutdated, "era %d, before %d", c.At.Era, after.Era)
 	}
-	if !c.Confirmed || c.ConfirmationAge > maxReaderConfirmationAge {
-		return errors.Wrapf(errOutdated, "confirmed %s ago, more than %s", c.ConfirmationAge, maxReaderConfirmationAge)
+	if !c.Confirmed || c.ConfirmationAge > source.MaxAge {
+		return errors.Wrapf(errOutdated, "confirmed %s ago, more than %s", c.ConfirmationAge, source.MaxAge)
 	}
 	return nil
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -36,10 +36,6 @@
 	watchBatchDelay = 150 * time.Millisecond
 	// maxWatchLag is how long a watch may lag behind a confirming read.
 	maxWatchLag = 400 * time.Millisecond
-	// maxReaderConfirmationAge is the age of a reader's last confirming read above which
-	// its followers choose another reader. It is longer than a confirmPeriod and two slow
-	// answers.
-	maxReaderConfirmationAge = 1400 * time.Millisecond
 	// catchUpTimeout bounds the confirming read with which an instance that lost its
 	// reader checks the store itself, and the revocation of the lease.
 	catchUpTimeout = 300 * time.Millisecond
@@ -281,7 +277,7 @@
 // confirmationExpired reports whether the last confirming read is too old for a reader.
 func (g *Gateway) confirmationExpired() bool {
 	confirmedAt, ok := g.confirmedAt()
-	return !ok || boot.Now()-confirmedAt > maxReaderConfirmationAge
+	return !ok || boot.Now()-confirmedAt > source.MaxAge
 }
 
 // confirmOnce reads the instance's own key linearizably. The counter in the answer covers
--- a/internal/gateway/reader_internal_test.go
+++ b/internal/gateway/reader_internal_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dandelionmux/pkg/source"
 )
 
 // maxApplyDelay is the time within which an accepted configuration must be in force on
@@ -21,7 +23,7 @@
 	}{
 		{
 			name:      "reader answers with an old confirmation",
-			detection: maxReaderConfirmationAge,
+			detection: source.MaxAge,
 		},
 		{
 			name:      "reader stalls after the request",
@@ -35,7 +37,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			is.True(tt.detection+max(catchUpTimeout, takeoverTimeout) < maxApplyDelay)
+			is.True(tt.detection+max(catchUpTimeout, source.TakeoverTime) < maxApplyDelay)
 		})
 	}
 }
--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -20,9 +20,8 @@
 	dialTimeout       = 300 * time.Millisecond
 	callTimeout       = 1500 * time.Millisecond
 	confirmPeriod     = 600 * time.Millisecond
-	longPoll          = 800 * time.Millisecond
-	holdTime          = 400 * time.Millisecond
-	maxFreshAge       = 1100 * time.Millisecond
+	copyTimeout       = 1200 * time.Millisecond
+	maxUsualAge       = 1100 * time.Millisecond
 	settleTime        = 200 * time.Millisecond
 	renewPeriod       = 2500 * time.Millisecond
 	memberTerm        = 9 * time.Second
@@ -83,12 +82,14 @@
 
 // simulatedInstance is one process.
 type simulatedInstance struct {
-	fleet      *simulatedFleet
-	info       source.Member
-	run        int
-	alive      bool
-	rejected   bool
-	isolated   bool
+	fleet    *simulatedFleet
+	info     source.Member
+	run      int
+	alive    bool
+	rejected bool
+	isolated bool
+	// cutOff is set while nothing comes from the store.
+	cutOff     bool
 	slow       time.Duration
 	chooser    *source.Chooser
 	registered bool
@@ -170,7 +171,7 @@
 	f.counter++
 	counter, at := f.counter, f.now
 	for _, x := range f.instances {
-		if x.watching {
+		if x.watching && !x.cutOff {
 			f.after(storeTime/2, func() { x.learn(counter) })
 		}
 		x.expect(counter, at)
@@ -213,8 +214,12 @@
 	run := x.run
 	x.calls += price
 	f.calls += price
-	ok := !f.down && !x.rejected
-	f.after(storeTime, func() {
+	ok := !f.down && !x.rejected && !x.cutOff
+	duration := storeTime
+	if x.cutOff {
+		duration = callTimeout
+	}
+	f.after(duration, func() {
 		if x.run != run {
 			return
 		}
@@ -304,7 +309,7 @@
 			f.registrations[x.info.Address] = r
 			x.registered = true
 			for _, y := range f.instances {
-				if y.watching {
+				if y.watching && !y.cutOff {
 					counter := f.counter
 					f.after(storeTime/2, func() { y.learn(counter) })
 				}
@@ -384,7 +389,7 @@
 }
 
 func (x *simulatedInstance) fresh() bool {
-	return x.alive && x.confirmedAt >= 0 && x.fleet.now-x.confirmedAt <= maxFreshAge
+	return x.alive && x.confirmedAt >= 0 && x.fleet.now-x.confirmedAt <= source.MaxAge
 }
 
 // pages is the number of calls of a complete list.
@@ -481,12 +486,7 @@
 
 func (x *simulatedInstance) follow(a instance.Address) {
 	f := x.fleet
-	var y *simulatedInstance
-	for _, o := range f.instances {
-		if o.info.Address == a {
-			y = o
-		}
-	}
+	y := f.instance(a)
 	run, sentAt := x.run, f.now
 	failed := func(why source.Failure) {
 		if x.run != run {
@@ -504,7 +504,7 @@
 		return
 	}
 	ended := false
-	f.after(longPoll+dialTimeout, func() {
+	f.after(copyTimeout, func() {
 		if !ended {
 			ended = true
 			failed(source.Unanswered)
@@ -540,30 +540,60 @@
 	f := x.fleet
 	run := x.run
 	var look func()
+	var timer time.Duration
+	ended := false
 	look = func() {
-		since := f.now - arrivedAt
-		first := x.alive && x.run == run && (x.chooser.First(f.now) == x.info.Address || x.chooser.First(f.now) == "")
-		switch {
-		case !x.alive || x.run != run:
-		case x.fresh() && (x.mirror > after || x.confirmedAt > known || since >= longPoll):
+		if ended || !x.alive || x.run != run {
+			return
+		}
+		switch decision := x.chooser.Answer(f.now, arrivedAt, source.Content{
+			ConfirmedAt: x.confirmedAt,
+			Confirmed:   x.confirmedAt >= 0,
+			News:        x.mirror > after || x.confirmedAt > known,
+			Reading:     x.watching,
+		}).(type) {
+		case source.Give:
+			ended = true
 			reply(answer{
 				ok:          true,
 				counter:     x.mirror,
 				age:         f.now - x.confirmedAt,
 				confirmedAt: x.confirmedAt,
-				held:        since,
+				held:        f.now - arrivedAt,
 			})
-		case x.fresh() || first && since < holdTime:
+		case source.Hold:
 			x.waiting = append(x.waiting, look)
-		default:
+			if decision.Until != timer {
+				timer = decision.Until
+				f.after(timer-f.now, look)
+			}
+		case source.Decline:
+			ended = true
 			reply(answer{})
 		}
 	}
-	f.after(holdTime, x.wake)
-	f.after(longPoll, x.wake)
 	look()
 }
 
+// members returns all instances.
+func (f *simulatedFleet) members() []source.Member {
+	var list []source.Member
+	for _, x := range f.instances {
+		list = append(list, x.info)
+	}
+	return list
+}
+
+// instance returns the instance with an address.
+func (f *simulatedFleet) instance(a instance.Address) *simulatedInstance {
+	for _, x := range f.instances {
+		if x.info.Address == a {
+			return x
+		}
+	}
+	return nil
+}
+
 // known returns the number of instances that are alive and fresh, and of those alive.
 func (f *simulatedFleet) known() (fresh, alive int) {
 	for _, x := range f.instances {
@@ -588,7 +618,7 @@
 // worst returns the greatest age and lag of those that are neither rejected nor isolated.
 func (f *simulatedFleet) worst() (age, lag time.Duration) {
 	for _, x := range f.instances {
-		if x.alive && !x.rejected && !x.isolated {
+		if x.alive && !x.rejected && !x.isolated && !x.cutOff {
 			age, lag = max(age, x.oldest), max(lag, x.lag)
 		}
 	}
@@ -637,7 +667,7 @@
 		age, lag := f.worst()
 		t.Logf("calls in a minute: %.0f, oldest confirmation %v, latest change %v", f.calls, age, lag)
 		is.True(f.calls <= callsOfInstance*testZones*testPerZone+callsOfZone*testZones)
-		is.True(age < maxFreshAge)
+		is.True(age < maxUsualAge)
 		is.True(lag < maxChangeTime)
 	}
 }
@@ -663,13 +693,60 @@
 			f.run(5 * time.Second)
 			age, lag := f.worst()
 			t.Logf("%d killed: calls %.0f, oldest confirmation %v, latest change %v", number, f.calls, age, lag)
-			is.True(age < maxFreshAge+takeoverSlack)
+			is.True(age < maxUsualAge+takeoverSlack)
 			is.True(lag < maxChangeTime)
 			is.True(f.calls < 10*callsOfInstance*testZones*testPerZone/60+10*callsOfZone*testZones/60)
 		}
 	}
 }
 
+// Guards against instances that know of a change too late because their reader, or also the
+// next two in order, get nothing from the store any more, without a word.
+func TestChangeIsKnownWhileReadersAreCutOff(t *testing.T) {
+	t.Parallel()
+	for _, cutOff := range []int{1, 3} {
+		t.Run(fmt.Sprint(cutOff), func(t *testing.T) {
+			// The cut comes at any time after a confirming read, and after a change, for
+			// which followers were answered out of turn.
+			const step = 75 * time.Millisecond
+			for afterRead := time.Duration(0); afterRead < confirmPeriod; afterRead += step {
+				for afterChange := time.Duration(0); afterChange < confirmPeriod; afterChange += step {
+					playCutOffReaders(t, cutOff, afterRead, afterChange)
+				}
+			}
+		})
+	}
+}
+
+// playCutOffReaders cuts the first instances in order off from the store, a time after a
+// confirming read and after a change.
+func playCutOffReaders(t *testing.T, cutOff int, afterRead, afterChange time.Duration) {
+	t.Helper()
+	const (
+		instances = 20
+		seconds   = 7
+	)
+	f := newFleet(1, instances, uint64(afterRead))
+	f.startAll()
+	f.run(5*time.Second + afterRead)
+	f.change()
+	f.run(afterChange)
+	f.resetMeasures()
+	for _, m := range source.Order("0", f.members())[:cutOff] {
+		f.instance(m.Address).cutOff = true
+	}
+	f.change()
+	f.run(3 * time.Second)
+	f.change()
+	f.run((seconds - 3) * time.Second)
+	if _, lag := f.worst(); lag >= maxChangeTime {
+		t.Errorf("cut %v after a read and %v after a change: next change known after %v", afterRead, afterChange, lag)
+	}
+	if most := float64(seconds * (callsOfInstance*instances/60 + callsOfZone)); f.calls > most {
+		t.Errorf("%.0f calls, more than %.0f", f.calls, most)
+	}
+}
+
 // takeoverSlack is how much older than usual a confirmation may be while a zone changes its
 // reader.
 const takeoverSlack = time.Second
