--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -244,6 +244,15 @@
 	return b.text.Write(line)
 }
 
+// logLines passes on the lines of the instances' logs that contain one of the texts.
+func (f *testFleet) logLines(texts ...string) {
+	for line := range strings.Lines(f.log.String()) {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			f.t.Log(strings.TrimSpace(line))
+		}
+	}
+}
+
 func (b *logBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -128,6 +128,9 @@
 				}
 			}
 			t.Logf("%d arrivals after %d crashes", f.arrivals()-before, crashLimit)
+			if f.arrivals()-before > maxLateArrivals {
+				f.logLines("strike", "quarantine", "excused", "links", "impaired", "target not reached")
+			}
 			is.True(f.arrivals()-before <= maxLateArrivals)
 			is.Equal(f.sendCrashing(f.instances[0], tt.method), http.StatusServiceUnavailable)
 		})
