--- a/pkg/link/fleet_test.go
+++ b/pkg/link/fleet_test.go
@@ -1,7 +1,6 @@
 package link_test
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/fake"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/link"
 )
@@ -40,34 +40,10 @@
 	unresponsive bool
 }
 
-// event is something that happens at a time.
-type event struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simulatedFleet plays instances that lose their links, and the requests of their callers.
 type simulatedFleet struct {
-	settings  fleetSettings
-	random    *rand.Rand
-	now       time.Duration
-	queue     eventQueue
-	events    int
+	settings fleetSettings
+	*fake.Timeline
 	members   []instance.Info
 	instances []*simulatedInstance
 	targets   map[string][]link.Target
@@ -103,10 +79,10 @@
 func newSimulatedFleet(s fleetSettings, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{
 		settings: s,
-		random:   rand.New(rand.NewPCG(seed, 0)),
-		now:      start,
+		Timeline: fake.NewTimeline(seed),
 		targets:  map[string][]link.Target{},
 	}
+	f.Run(start)
 	var names []string
 	for i := range s.services {
 		name := fmt.Sprintf("service-%03d", i)
@@ -134,47 +110,27 @@
 		}
 		x.monitor.Update(names)
 		f.instances = append(f.instances, x)
-		f.after(f.interval(), x.receiveRequest)
-		f.after(50*time.Millisecond, x.tick)
+		f.After(f.interval(), x.receiveRequest)
+		f.After(50*time.Millisecond, x.tick)
 	}
 	return f
 }
 
 // interval returns a random time between two requests at an instance.
 func (f *simulatedFleet) interval() time.Duration {
-	return time.Duration(f.random.ExpFloat64() / f.settings.perSecond * float64(time.Second))
-}
-
-func (f *simulatedFleet) after(d time.Duration, do func()) {
-	f.events++
-	heap.Push(&f.queue, event{
-		at:     f.now + d,
-		number: f.events,
-		do:     do,
-	})
-}
-
-// run plays for a time.
-func (f *simulatedFleet) run(d time.Duration) {
-	until := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-	}
-	f.now = until
+	return time.Duration(f.Random.ExpFloat64() / f.settings.perSecond * float64(time.Second))
 }
 
 func (x *simulatedInstance) tick() {
 	x.step()
-	x.helpers.Expire(x.fleet.now)
-	x.fleet.after(50*time.Millisecond, x.tick)
+	x.helpers.Expire(x.fleet.Now())
+	x.fleet.After(50*time.Millisecond, x.tick)
 }
 
 // step does what the monitor decides.
 func (x *simulatedInstance) step() {
 	f := x.fleet
-	actions := x.monitor.Step(f.now, func(service string) []link.Target { return f.targets[service] })
+	actions := x.monitor.Step(f.Now(), func(service string) []link.Target { return f.targets[service] })
 	for _, t := range actions.Tests {
 		x.tests++
 		x.dial(t.Service, t.Name, 100*time.Millisecond, func(bool) { x.monitor.EndTest(t) })
@@ -183,14 +139,14 @@
 		x.questions++
 		reached, wait := false, 2*messageTime
 		for range 3 {
-			if w := f.instances[f.random.IntN(len(f.instances))]; !w.cut && w != x {
+			if w := f.instances[f.Random.IntN(len(f.instances))]; !w.cut && w != x {
 				reached = true
 			}
 		}
 		if !reached && f.settings.unresponsive {
 			wait += 100 * time.Millisecond
 		}
-		f.after(wait, func() {
+		f.After(wait, func() {
 			x.monitor.Testify(q, reached)
 			x.step()
 		})
@@ -206,15 +162,15 @@
 		Services: x.monitor.Impaired(),
 	}
 	changed := r.All != x.reported.All || !slices.Equal(r.Services, x.reported.Services)
-	due := changed && f.now >= x.reportAt+reportPause || len(r.Services) > 0 && f.now >= x.reportAt+link.ReportPeriod
+	due := changed && f.Now() >= x.reportAt+reportPause || len(r.Services) > 0 && f.Now() >= x.reportAt+link.ReportPeriod
 	if !due {
 		return
 	}
-	x.reported, x.reportAt = r, f.now
+	x.reported, x.reportAt = r, f.Now()
 	x.reports++
-	f.after(messageTime, func() {
+	f.After(messageTime, func() {
 		for _, other := range f.instances {
-			other.helpers.Receive(f.now, f.members[x.number].Address, r)
+			other.helpers.Receive(f.Now(), f.members[x.number].Address, r)
 		}
 	})
 }
@@ -223,17 +179,17 @@
 // step.
 func (x *simulatedInstance) dial(service, target string, timeout time.Duration, done func(ok bool)) {
 	f := x.fleet
-	began, cut := f.now, x.cut
+	began, cut := f.Now(), x.cut
 	wait := connectTime
 	if cut && f.settings.unresponsive {
 		wait = timeout
 	}
-	f.after(wait, func() {
+	f.After(wait, func() {
 		if cut {
-			x.monitor.ConnectFailed(f.now, began, service, target)
-			f.after(link.TestDelay+time.Millisecond, x.step)
+			x.monitor.ConnectFailed(f.Now(), began, service, target)
+			f.After(link.TestDelay+time.Millisecond, x.step)
 		} else {
-			x.monitor.ConnectSucceeded(f.now, began, service, target)
+			x.monitor.ConnectSucceeded(f.Now(), began, service, target)
 		}
 		done(!cut)
 		x.step()
@@ -245,13 +201,13 @@
 	f := x.fleet
 	r := &simulatedRequest{
 		instance: x,
-		service:  fmt.Sprintf("service-%03d", f.random.IntN(f.settings.services)),
-		key:      f.random.Uint64(),
-		at:       f.now,
+		service:  fmt.Sprintf("service-%03d", f.Random.IntN(f.settings.services)),
+		key:      f.Random.Uint64(),
+		at:       f.Now(),
 		cut:      x.cut,
 	}
 	r.attempt()
-	f.after(f.interval(), x.receiveRequest)
+	f.After(f.interval(), x.receiveRequest)
 }
 
 // simulatedRequest is a request of a caller.
@@ -270,7 +226,7 @@
 	if r.cut {
 		f.results = append(f.results, requestResult{
 			at:     r.at,
-			wait:   f.now - r.at,
+			wait:   f.Now() - r.at,
 			served: served,
 		})
 	}
@@ -286,11 +242,11 @@
 	}
 	switch x.monitor.State(r.service) {
 	case link.Suspect:
-		f.after(suspectPause, r.attempt)
+		f.After(suspectPause, r.attempt)
 	case link.Reachable:
 		r.attempts++
 		list := f.targets[r.service]
-		x.dial(r.service, list[f.random.IntN(len(list))].Name, dialTimeout, func(ok bool) {
+		x.dial(r.service, list[f.Random.IntN(len(list))].Name, dialTimeout, func(ok bool) {
 			if ok {
 				r.end(true)
 			} else {
@@ -299,13 +255,13 @@
 		})
 	default:
 		r.attempts++
-		chosen, ok := x.helpers.Choose(f.now, f.members[x.number], f.members, r.service, instance.Hash("relay", r.key))
+		chosen, ok := x.helpers.Choose(f.Now(), f.members[x.number], f.members, r.service, instance.Hash("relay", r.key))
 		if !ok {
 			r.end(false)
 			return
 		}
 		helper := slices.Index(f.members, chosen)
-		f.after(messageTime, func() { r.arriveAt(f.instances[helper]) })
+		f.After(messageTime, func() { r.arriveAt(f.instances[helper]) })
 	}
 }
 
@@ -316,20 +272,20 @@
 	member := f.members[helper.number]
 	switch state := helper.monitor.State(r.service); {
 	case helper.relayed >= maxRelayed:
-		f.after(messageTime, func() {
-			x.helpers.Exclude(f.now, member.Address)
+		f.After(messageTime, func() {
+			x.helpers.Exclude(f.Now(), member.Address)
 			r.attempt()
 		})
 	case state == link.Suspect:
-		f.after(suspectPause, func() { r.arriveAt(helper) })
+		f.After(suspectPause, func() { r.arriveAt(helper) })
 	case state == link.Unreachable:
-		f.after(messageTime, func() {
-			x.helpers.CutOff(f.now, member, r.service, f.settings.zones)
+		f.After(messageTime, func() {
+			x.helpers.CutOff(f.Now(), member, r.service, f.settings.zones)
 			r.attempt()
 		})
 	default:
 		list := f.targets[r.service]
-		helper.dial(r.service, list[f.random.IntN(len(list))].Name, dialTimeout, func(ok bool) {
+		helper.dial(r.service, list[f.Random.IntN(len(list))].Name, dialTimeout, func(ok bool) {
 			if !ok {
 				r.arriveAt(helper)
 				return
@@ -337,7 +293,7 @@
 			helper.relayed++
 			helper.helped++
 			x.helpers.Answered(r.service)
-			f.after(workTime, func() { helper.relayed-- })
+			f.After(workTime, func() { helper.relayed-- })
 			r.end(true)
 		})
 	}
@@ -411,13 +367,13 @@
 				is := is.New(t)
 				settings.unresponsive = unresponsive
 				f := newSimulatedFleet(settings, 1)
-				f.run(500 * time.Millisecond)
-				cutAt := f.now
+				f.Run(500 * time.Millisecond)
+				cutAt := f.Now()
 				for i, x := range f.instances {
 					x.cut = lost.cut(i, settings.zones)
 					x.tests, x.questions, x.reports, x.helped = 0, 0, 0, 0
 				}
-				f.run(cutTime)
+				f.Run(cutTime)
 				for _, span := range [][2]time.Duration{{0, 300 * time.Millisecond}, {300 * time.Millisecond, time.Second}, {time.Second, cutTime - time.Second}} {
 					part, longest, number := f.served(cutAt, span[0], span[1])
 					t.Logf("requests at instances without links, %v to %v: %.4f of %d served, longest wait %v", span[0], span[1], part, number, longest)
@@ -431,11 +387,11 @@
 				for _, x := range f.instances {
 					x.cut, x.helped = false, 0
 				}
-				f.run(noticeTime)
+				f.Run(noticeTime)
 				for _, x := range f.instances {
 					x.helped = 0
 				}
-				f.run(500 * time.Millisecond)
+				f.Run(500 * time.Millisecond)
 				for _, x := range f.instances {
 					is.Equal(x.helped, 0) // all use their own links again
 				}
--- a/pkg/outlier/unresponsive_test.go
+++ b/pkg/outlier/unresponsive_test.go
@@ -1,7 +1,6 @@
 package outlier_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/fake"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/outlier"
 	"dandelionmux/pkg/target"
@@ -45,36 +45,12 @@
 	lostReports float64
 }
 
-// simulatedEvent is something that happens at a time.
-type simulatedEvent struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-type simulatedEvents []simulatedEvent
-
-func (q simulatedEvents) Len() int { return len(q) }
-func (q simulatedEvents) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q simulatedEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simulatedEvents) Push(x any)   { *q = append(*q, x.(simulatedEvent)) }
-func (q *simulatedEvents) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simulatedFleet plays the tables of a fleet's instances.
 type simulatedFleet struct {
 	settings fleetSettings
-	random   *rand.Rand
-	now      time.Duration
-	queue    simulatedEvents
-	events   int
-	tables   []*outlier.Table
-	latency  []*outlier.Latencies
+	*fake.Timeline
+	tables  []*outlier.Table
+	latency []*outlier.Latencies
 	// hungSince is since when each target hasn't been answering; negative if it is sound.
 	hungSince []time.Duration
 	// busy is the number of slots in use at each target, and waiting the requests for which
@@ -104,9 +80,9 @@
 func newSimulatedFleet(s fleetSettings, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{
 		settings: s,
-		random:   rand.New(rand.NewPCG(seed, 0)),
-		now:      now,
+		Timeline: fake.NewTimeline(seed),
 	}
+	f.Run(now)
 	var list []target.Registration
 	for i := range s.targets {
 		list = append(list, target.Registration{
@@ -121,16 +97,16 @@
 		f.hungSince = append(f.hungSince, -1)
 		f.busy = append(f.busy, 0)
 		f.waiting = append(f.waiting, nil)
-		f.after(f.exponential(f.soundFor()), func() { f.hang(i) })
+		f.After(f.exponential(f.soundFor()), func() { f.hang(i) })
 	}
 	for i := range s.instances {
 		t := outlier.New(fmt.Sprint(i%s.zones), rand.New(rand.NewPCG(seed, uint64(i)+1)))
-		t.Update(f.now, list)
+		t.Update(f.Now(), list)
 		f.tables = append(f.tables, t)
 		f.latency = append(f.latency, outlier.NewLatencies())
-		f.after(time.Duration(f.random.Float64()*float64(stepPeriod)), func() { f.step(i) })
+		f.After(time.Duration(f.Random.Float64()*float64(stepPeriod)), func() { f.step(i) })
 	}
-	f.after(0, f.request)
+	f.After(0, f.request)
 	return f
 }
 
@@ -140,42 +116,23 @@
 }
 
 func (f *simulatedFleet) exponential(mean time.Duration) time.Duration {
-	return time.Duration(f.random.ExpFloat64() * float64(mean))
-}
-
-func (f *simulatedFleet) after(d time.Duration, do func()) {
-	f.events++
-	heap.Push(&f.queue, simulatedEvent{
-		at:     f.now + d,
-		number: f.events,
-		do:     do,
-	})
-}
-
-func (f *simulatedFleet) run(d time.Duration) {
-	until := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(simulatedEvent)
-		f.now = e.at
-		e.do()
-	}
-	f.now = until
+	return time.Duration(f.Random.ExpFloat64() * float64(mean))
 }
 
 // hang lets a target stop answering for a while.
 func (f *simulatedFleet) hang(i int) {
-	f.hungSince[i] = f.now
-	f.after(f.exponential(f.settings.hungFor), func() {
+	f.hungSince[i] = f.Now()
+	f.After(f.exponential(f.settings.hungFor), func() {
 		f.hungSince[i] = -1
-		f.after(f.exponential(f.soundFor()), func() { f.hang(i) })
+		f.After(f.exponential(f.soundFor()), func() { f.hang(i) })
 	})
 }
 
 // work returns how long a target takes for a request.
 func (f *simulatedFleet) work() time.Duration {
 	s := f.settings
-	d := float64(s.meanWork) * math.Exp(s.spread*f.random.NormFloat64()-s.spread*s.spread/2)
-	if f.random.Float64() < 0.01 {
+	d := float64(s.meanWork) * math.Exp(s.spread*f.Random.NormFloat64()-s.spread*s.spread/2)
+	if f.Random.Float64() < 0.01 {
 		d *= s.tailFactor
 	}
 	return time.Duration(d)
@@ -184,14 +141,14 @@
 // step does the periodic work of an instance.
 func (f *simulatedFleet) step(i int) {
 	t := f.tables[i]
-	for _, name := range t.Step(f.now, true) {
+	for _, name := range t.Step(f.Now(), true) {
 		f.reportTimeout(i, name)
 	}
 	for _, l := range t.Loads() {
-		f.after(messageDelay, func() {
+		f.After(messageDelay, func() {
 			for j, other := range f.tables {
-				if j != i && j%f.settings.zones == i%f.settings.zones && f.random.Float64() >= f.settings.lostReports {
-					other.ReceiveLoad(f.now, fmt.Sprint(i), l, 3*stepPeriod)
+				if j != i && j%f.settings.zones == i%f.settings.zones && f.Random.Float64() >= f.settings.lostReports {
+					other.ReceiveLoad(f.Now(), fmt.Sprint(i), l, 3*stepPeriod)
 				}
 			}
 		})
@@ -199,20 +156,20 @@
 	for j := range f.hungSince {
 		if f.hungSince[j] < 0 {
 			f.result.soundTime += stepPeriod
-			if t.Ejected(f.now, fmt.Sprintf("desk-%03d", j)) {
+			if t.Ejected(f.Now(), fmt.Sprintf("desk-%03d", j)) {
 				f.result.ejectedTime += stepPeriod
 			}
 		}
 	}
-	f.after(stepPeriod, func() { f.step(i) })
+	f.After(stepPeriod, func() { f.step(i) })
 }
 
 // reportTimeout tells all instances of a target that doesn't answer.
 func (f *simulatedFleet) reportTimeout(from int, name string) {
-	f.after(messageDelay, func() {
+	f.After(messageDelay, func() {
 		for j, other := range f.tables {
 			if j != from {
-				other.ReceiveOutcome(f.now, name, target.TimedOut)
+				other.ReceiveOutcome(f.Now(), name, target.TimedOut)
 			}
 		}
 	})
@@ -221,14 +178,14 @@
 // request sends a request through a random instance, and awaits the next one.
 func (f *simulatedFleet) request() {
 	f.result.requests++
-	f.attempt(f.random.IntN(f.settings.instances), f.random.Float64() < f.settings.repeatable, nil)
-	f.after(f.exponential(time.Duration(float64(time.Second)/f.settings.perSecond)), f.request)
+	f.attempt(f.Random.IntN(f.settings.instances), f.Random.Float64() < f.settings.repeatable, nil)
+	f.After(f.exponential(time.Duration(float64(time.Second)/f.settings.perSecond)), f.request)
 }
 
 // attempt sends a request to a target.
 func (f *simulatedFleet) attempt(i int, repeatable bool, tried []string) {
 	t, l := f.tables[i], f.latency[i]
-	chosen, ok := t.Choose(f.now, outlier.Request{
+	chosen, ok := t.Choose(f.Now(), outlier.Request{
 		Repeatable: repeatable,
 		Avoid:      tried,
 	})
@@ -239,40 +196,40 @@
 	p := t.Begin(chosen.Name, timeout/3)
 	var number int
 	_, _ = fmt.Sscanf(chosen.Name, "desk-%d", &number)
-	ended, sentAt := false, f.now
-	if f.hungSince[number] < 0 || f.random.Float64() >= f.settings.hungRequests {
+	ended, sentAt := false, f.Now()
+	if f.hungSince[number] < 0 || f.Random.Float64() >= f.settings.hungRequests {
 		f.serve(number, func() bool { return ended }, func() {
 			if ended {
 				return
 			}
 			ended = true
 			t.End(p, outlier.Answered)
-			t.Done(f.now, chosen.Name, target.Succeeded)
-			l.Add("route", f.now-sentAt)
+			t.Done(f.Now(), chosen.Name, target.Succeeded)
+			l.Add("route", f.Now()-sentAt)
 			f.result.served++
 		})
 	} else if !repeatable {
 		f.result.lost++
 	}
-	f.after(timeout, func() {
+	f.After(timeout, func() {
 		if ended {
 			return
 		}
-		if t.Observe(f.now, chosen.Name, target.TimedOut) {
+		if t.Observe(f.Now(), chosen.Name, target.TimedOut) {
 			f.reportTimeout(i, chosen.Name)
 		}
 		if repeatable && len(tried) < 2 {
 			ended = true
 			t.End(p, outlier.GivenUp)
-			t.Done(f.now, chosen.Name, target.Cancelled)
+			t.Done(f.Now(), chosen.Name, target.Cancelled)
 			f.attempt(i, true, append(tried, chosen.Name))
 		}
 	})
-	f.after(10*f.settings.meanWork, func() {
+	f.After(10*f.settings.meanWork, func() {
 		if !ended {
 			ended = true
 			t.End(p, outlier.GivenUp)
-			t.Done(f.now, chosen.Name, target.Cancelled)
+			t.Done(f.Now(), chosen.Name, target.Cancelled)
 		}
 	})
 }
@@ -288,7 +245,7 @@
 		return
 	}
 	f.busy[i]++
-	f.after(f.work(), func() {
+	f.After(f.work(), func() {
 		f.busy[i]--
 		answer()
 		f.serveNext(i)
@@ -308,7 +265,7 @@
 	var sum simulatedResult
 	for seed := range uint64(6) {
 		f := newSimulatedFleet(s, seed)
-		f.run(30 * time.Second)
+		f.Run(30 * time.Second)
 		r := f.result
 		sum.requests += r.requests
 		sum.served += r.served
--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -1,14 +1,13 @@
 package source_test
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/fake"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/source"
 )
@@ -38,27 +37,6 @@
 	processingDelay   = 2 * time.Millisecond
 )
 
-// event is something that happens at a time.
-type event struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // registration is a member's key in the store.
 type registration struct {
 	member    source.Member
@@ -68,10 +46,7 @@
 
 // simulatedFleet plays instances that read a store or follow each other.
 type simulatedFleet struct {
-	random        *rand.Rand
-	now           time.Duration
-	queue         eventQueue
-	events        int
+	*fake.Timeline
 	instances     []*simulatedInstance
 	counter       int64
 	registrations map[instance.Address]*registration
@@ -112,11 +87,11 @@
 
 func newFleet(zones, perZone int, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{
-		random:        rand.New(rand.NewPCG(seed, 0)),
-		now:           time.Minute,
+		Timeline:      fake.NewTimeline(seed),
 		counter:       targetsInStore,
 		registrations: map[instance.Address]*registration{},
 	}
+	f.Run(time.Minute)
 	for i := range zones * perZone {
 		x := &simulatedInstance{
 			fleet: f,
@@ -138,30 +113,11 @@
 	return f
 }
 
-func (f *simulatedFleet) after(d time.Duration, do func()) {
-	f.events++
-	heap.Push(&f.queue, event{
-		at:     f.now + d,
-		number: f.events,
-		do:     do,
-	})
-}
-
-func (f *simulatedFleet) run(d time.Duration) {
-	until := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-	}
-	f.now = until
-}
-
 // startAll starts all instances that aren't running, within startPeriod.
 func (f *simulatedFleet) startAll() {
 	for _, x := range f.instances {
 		if !x.alive {
-			f.after(time.Duration(f.random.Float64()*float64(startPeriod)), x.start)
+			f.After(time.Duration(f.Random.Float64()*float64(startPeriod)), x.start)
 		}
 	}
 }
@@ -169,10 +125,10 @@
 // change lets the operator change the store.
 func (f *simulatedFleet) change() {
 	f.counter++
-	counter, at := f.counter, f.now
+	counter, at := f.counter, f.Now()
 	for _, x := range f.instances {
 		if x.watching && !x.cutOff {
-			f.after(storeTime/2, func() { x.learn(counter) })
+			f.After(storeTime/2, func() { x.learn(counter) })
 		}
 		x.expect(counter, at)
 	}
@@ -189,9 +145,9 @@
 		switch {
 		case x.run != run:
 		case x.mirror >= counter:
-			x.lag = max(x.lag, x.fleet.now-at)
+			x.lag = max(x.lag, x.fleet.Now()-at)
 		default:
-			x.fleet.after(10*time.Millisecond, check)
+			x.fleet.After(10*time.Millisecond, check)
 		}
 	}
 	check()
@@ -201,7 +157,7 @@
 func (x *simulatedInstance) members(counter int64) []source.Member {
 	var list []source.Member
 	for _, r := range x.fleet.registrations {
-		if r.counter <= counter && x.fleet.now < r.expiresAt && r.member.Zone == x.info.Zone {
+		if r.counter <= counter && x.fleet.Now() < r.expiresAt && r.member.Zone == x.info.Zone {
 			list = append(list, r.member)
 		}
 	}
@@ -219,7 +175,7 @@
 	if x.cutOff {
 		duration = callTimeout
 	}
-	f.after(duration, func() {
+	f.After(duration, func() {
 		if x.run != run {
 			return
 		}
@@ -239,7 +195,7 @@
 // soon runs something in this run of the process, after d.
 func (x *simulatedInstance) soon(d time.Duration, do func()) {
 	run := x.run
-	x.fleet.after(d, func() {
+	x.fleet.After(d, func() {
 		if x.run == run {
 			do()
 		}
@@ -251,9 +207,9 @@
 	run := x.run
 	pause := time.Duration(0)
 	if x.backoff > 0 {
-		pause = x.backoff/2 + time.Duration(x.fleet.random.Float64()*float64(x.backoff))
+		pause = x.backoff/2 + time.Duration(x.fleet.Random.Float64()*float64(x.backoff))
 	}
-	x.fleet.after(d+pause, func() {
+	x.fleet.After(d+pause, func() {
 		if x.run == run {
 			do()
 		}
@@ -278,10 +234,10 @@
 
 func (x *simulatedInstance) measure() {
 	if x.confirmedAt >= 0 {
-		x.oldest = max(x.oldest, x.fleet.now-x.confirmedAt)
+		x.oldest = max(x.oldest, x.fleet.Now()-x.confirmedAt)
 	}
 	run := x.run
-	x.fleet.after(10*time.Millisecond, func() {
+	x.fleet.After(10*time.Millisecond, func() {
 		if x.run == run {
 			x.measure()
 		}
@@ -304,14 +260,14 @@
 			r := &registration{
 				member:    x.info,
 				counter:   f.counter,
-				expiresAt: f.now + memberTerm,
+				expiresAt: f.Now() + memberTerm,
 			}
 			f.registrations[x.info.Address] = r
 			x.registered = true
 			for _, y := range f.instances {
 				if y.watching && !y.cutOff {
 					counter := f.counter
-					f.after(storeTime/2, func() { y.learn(counter) })
+					f.After(storeTime/2, func() { y.learn(counter) })
 				}
 			}
 			x.later(renewPeriod, func() { x.renew(r) })
@@ -320,13 +276,13 @@
 }
 
 func (x *simulatedInstance) renew(r *registration) {
-	if x.fleet.now >= r.expiresAt {
+	if x.fleet.Now() >= r.expiresAt {
 		x.register()
 		return
 	}
 	x.call(renewPrice, func(ok bool) {
 		if ok {
-			r.expiresAt = x.fleet.now + memberTerm
+			r.expiresAt = x.fleet.Now() + memberTerm
 		}
 		x.later(renewPeriod, func() { x.renew(r) })
 	})
@@ -389,7 +345,7 @@
 }
 
 func (x *simulatedInstance) fresh() bool {
-	return x.alive && x.confirmedAt >= 0 && x.fleet.now-x.confirmedAt <= source.MaxAge
+	return x.alive && x.confirmedAt >= 0 && x.fleet.Now()-x.confirmedAt <= source.MaxAge
 }
 
 // pages is the number of calls of a complete list.
@@ -399,8 +355,8 @@
 
 // next does what the chooser says.
 func (x *simulatedInstance) next() {
-	x.chooser.Expire(x.fleet.now)
-	switch a := x.chooser.Next(x.fleet.now).(type) {
+	x.chooser.Expire(x.fleet.Now())
+	switch a := x.chooser.Next(x.fleet.Now()).(type) {
 	case source.Read:
 		x.read()
 	case source.Follow:
@@ -414,7 +370,7 @@
 
 // readOnce reads the store: a list if the mirror is empty, and else a confirming read.
 func (x *simulatedInstance) readOnce(done func(ok bool)) {
-	sentAt := x.fleet.now
+	sentAt := x.fleet.Now()
 	price := 1.0
 	if x.mirror == 0 {
 		price = x.pages()
@@ -436,7 +392,7 @@
 	x.readOnce(func(ok bool) {
 		if !ok {
 			if !x.fresh() {
-				x.chooser.ReadFailed(x.fleet.now)
+				x.chooser.ReadFailed(x.fleet.Now())
 			}
 			x.soon(processingDelay, x.next)
 			return
@@ -450,8 +406,8 @@
 
 func (x *simulatedInstance) goOnReading() {
 	x.later(confirmPeriod, func() {
-		x.chooser.Expire(x.fleet.now)
-		if _, ok := x.chooser.Next(x.fleet.now).(source.Read); !ok {
+		x.chooser.Expire(x.fleet.Now())
+		if _, ok := x.chooser.Next(x.fleet.Now()).(source.Read); !ok {
 			x.watching = false
 			x.next()
 			return
@@ -459,7 +415,7 @@
 		x.readOnce(func(ok bool) {
 			if !ok && !x.fresh() {
 				x.watching = false
-				x.chooser.ReadFailed(x.fleet.now)
+				x.chooser.ReadFailed(x.fleet.Now())
 				x.next()
 				return
 			}
@@ -470,7 +426,7 @@
 
 func (x *simulatedInstance) catchUp() {
 	x.readOnce(func(ok bool) {
-		x.chooser.CaughtUp(x.fleet.now, ok)
+		x.chooser.CaughtUp(x.fleet.Now(), ok)
 		x.soon(processingDelay, x.next)
 	})
 }
@@ -487,36 +443,36 @@
 func (x *simulatedInstance) follow(a instance.Address) {
 	f := x.fleet
 	y := f.instance(a)
-	run, sentAt := x.run, f.now
+	run, sentAt := x.run, f.Now()
 	failed := func(why source.Failure) {
 		if x.run != run {
 			return
 		}
-		x.chooser.Failed(f.now, a, why)
+		x.chooser.Failed(f.Now(), a, why)
 		x.next()
 	}
 	if x.isolated || y.isolated {
-		f.after(dialTimeout, func() { failed(source.Unanswered) })
+		f.After(dialTimeout, func() { failed(source.Unanswered) })
 		return
 	}
 	if !y.alive {
-		f.after(messageTime, func() { failed(source.Gone) })
+		f.After(messageTime, func() { failed(source.Gone) })
 		return
 	}
 	ended := false
-	f.after(copyTimeout, func() {
+	f.After(copyTimeout, func() {
 		if !ended {
 			ended = true
 			failed(source.Unanswered)
 		}
 	})
-	f.after(messageTime+y.slow, func() {
+	f.After(messageTime+y.slow, func() {
 		known := time.Duration(-1)
 		if x.knownOf == a {
 			known = x.known
 		}
-		y.serve(x.mirror, known, f.now, func(r answer) {
-			f.after(messageTime, func() {
+		y.serve(x.mirror, known, f.Now(), func(r answer) {
+			f.After(messageTime, func() {
 				if ended || x.run != run {
 					return
 				}
@@ -546,7 +502,7 @@
 		if ended || !x.alive || x.run != run {
 			return
 		}
-		switch decision := x.chooser.Answer(f.now, arrivedAt, source.Content{
+		switch decision := x.chooser.Answer(f.Now(), arrivedAt, source.Content{
 			ConfirmedAt: x.confirmedAt,
 			Confirmed:   x.confirmedAt >= 0,
 			News:        x.mirror > after || x.confirmedAt > known,
@@ -557,15 +513,15 @@
 			reply(answer{
 				ok:          true,
 				counter:     x.mirror,
-				age:         f.now - x.confirmedAt,
+				age:         f.Now() - x.confirmedAt,
 				confirmedAt: x.confirmedAt,
-				held:        f.now - arrivedAt,
+				held:        f.Now() - arrivedAt,
 			})
 		case source.Hold:
 			x.waiting = append(x.waiting, look)
 			if decision.Until != timer {
 				timer = decision.Until
-				f.after(timer-f.now, look)
+				f.After(timer-f.Now(), look)
 			}
 		case source.Decline:
 			ended = true
@@ -641,7 +597,7 @@
 func newRunningFleet(seed uint64) *simulatedFleet {
 	f := newFleet(testZones, testPerZone, seed)
 	f.startAll()
-	f.run(10 * time.Second)
+	f.Run(10 * time.Second)
 	f.resetMeasures()
 	return f
 }
@@ -657,12 +613,12 @@
 		is := is.New(t)
 		f := newFleet(testZones, testPerZone, seed)
 		f.startAll()
-		f.run(time.Second)
+		f.Run(time.Second)
 		fresh, alive := f.known()
 		is.Equal(fresh, alive)
 		for range 30 {
 			f.change()
-			f.run(2 * time.Second)
+			f.Run(2 * time.Second)
 		}
 		age, lag := f.worst()
 		t.Logf("calls in a minute: %.0f, oldest confirmation %v, latest change %v", f.calls, age, lag)
@@ -688,9 +644,9 @@
 				}
 			}
 			is.Equal(killed, number)
-			f.run(300 * time.Millisecond)
+			f.Run(300 * time.Millisecond)
 			f.change()
-			f.run(5 * time.Second)
+			f.Run(5 * time.Second)
 			age, lag := f.worst()
 			t.Logf("%d killed: calls %.0f, oldest confirmation %v, latest change %v", number, f.calls, age, lag)
 			is.True(age < maxUsualAge+takeoverSlack)
@@ -728,17 +684,17 @@
 	)
 	f := newFleet(1, instances, uint64(afterRead))
 	f.startAll()
-	f.run(5*time.Second + afterRead)
+	f.Run(5*time.Second + afterRead)
 	f.change()
-	f.run(afterChange)
+	f.Run(afterChange)
 	f.resetMeasures()
 	for _, m := range source.Order("0", f.members())[:cutOff] {
 		f.instance(m.Address).cutOff = true
 	}
 	f.change()
-	f.run(3 * time.Second)
+	f.Run(3 * time.Second)
 	f.change()
-	f.run((seconds - 3) * time.Second)
+	f.Run((seconds - 3) * time.Second)
 	if _, lag := f.worst(); lag >= maxChangeTime {
 		t.Errorf("cut %v after a read and %v after a change: next change known after %v", afterRead, afterChange, lag)
 	}
@@ -759,11 +715,11 @@
 		is := is.New(t)
 		f := newRunningFleet(seed)
 		for _, x := range f.instances {
-			x.rejected = f.random.IntN(3) == 0
+			x.rejected = f.Random.IntN(3) == 0
 		}
 		for range 4 {
 			f.change()
-			f.run(2250 * time.Millisecond)
+			f.Run(2250 * time.Millisecond)
 		}
 		age, lag := f.worst()
 		t.Logf("calls in 9 s %.0f, oldest confirmation %v, latest change %v", f.calls, age, lag)
@@ -786,11 +742,11 @@
 		is := is.New(t)
 		f := newRunningFleet(seed)
 		f.down = true
-		f.run(outage)
+		f.Run(outage)
 		calls := f.calls
 		f.down = false
 		f.change()
-		f.run(recovery)
+		f.Run(recovery)
 		fresh, alive := f.known()
 		t.Logf("calls while away %.0f, oldest confirmation then: %d of %d fresh", calls, fresh, alive)
 		is.Equal(fresh, alive)
@@ -813,10 +769,10 @@
 					killed++
 				}
 			}
-			f.run(2 * time.Second)
+			f.Run(2 * time.Second)
 			f.resetMeasures()
 			f.startAll()
-			f.run(time.Second)
+			f.Run(time.Second)
 			fresh, alive := f.known()
 			t.Logf("%d started again: calls %.0f, fresh %d of %d after 1 s", killed, f.calls, fresh, alive)
 			is.Equal(fresh, alive)
@@ -833,7 +789,7 @@
 	f := newRunningFleet(1)
 	x := f.instances[testZones*testPerZone-1]
 	x.isolated = true
-	f.run(5 * time.Second)
+	f.Run(5 * time.Second)
 	is.True(x.fresh())
 	is.True(x.oldest < trustedTerm)
 }
