Compress the store's content once for the instances that start

Cause, by reading: each instance that starts registers and so changes the store, and an answer with all entries was kept only until the next change. So the reader sorts, encodes and compresses 3,000 targets anew for each of its zone, one after the other, with a part of a core.

Now what was compressed is kept, and what has changed since follows it, up to 500 entries. TestStartingInstancesGetWhatWasCompressedOnce failed before. Instances of earlier builds, which don't ask for compressed entries, get the same as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,10 +68,12 @@
 	leaving   atomic.Bool
 	// readingStore is set while the instance reads the store for its zone.
 	readingStore atomic.Bool
-	// copies are the last answers to followers, the next of which is replaced.
+	// copies are the last answers to followers, the next of which is replaced, and fullCopy
+	// is the last one with all entries that was compressed.
 	copyMu   sync.Mutex
 	copies   [2]encodedEntries
 	nextCopy int
+	fullCopy encodedEntries
 	// publishMu serialises changes of the snapshot.
 	publishMu sync.Mutex
 
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,8 @@
 const (
 	// minCompressedBytes is the least size of entries that are worth compressing.
 	minCompressedBytes = 4 << 10
+	// maxLaterEntries is the number of changes after which all entries are encoded anew.
+	maxLaterEntries = 500
 	// copyTimeout bounds the wait for a reader's answer, which may be held for two thirds of
 	// it. Instances have only a part of a CPU core and may stall for a while.
 	copyTimeout = 1200 * time.Millisecond
@@ -102,6 +105,8 @@
 	content   []byte
 	// compressed is content compressed, as a field; nil if that isn't worth it.
 	compressed []byte
+	// later are entries that changed since content was encoded.
+	later []byte
 }
 
 // parsePosition decodes the position in the query of a request for a mirror.
@@ -189,30 +194,38 @@
 	return c, reply, st.mirrorChanged
 }
 
-// answerMirror sends what changed in the mirror after a position. The entries are encoded
-// once for all followers that are at the same position.
+// answerMirror sends what changed in the mirror after a position.
 func (g *Gateway) answerMirror(w http.ResponseWriter, r *http.Request, after mirror.Position, c mirrorCopy) {
-	e, err := g.encodeEntries(after)
+	mayCompress := r.URL.Query().Get("Compressed") == "1"
+	e, err := g.encodeEntries(after, mayCompress)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	content := e.content
-	if e.compressed != nil && r.URL.Query().Get("Compressed") == "1" {
+	if e.compressed != nil && mayCompress {
 		content = e.compressed
 	}
 	c.At, c.Full = e.at, e.full
-	_, _ = w.Write(append(encodeMirrorCopy(c), content...))
+	_, _ = w.Write(slices.Concat(encodeMirrorCopy(c), content, e.later))
 }
 
-// encodeEntries returns the encoded entries that changed after a position.
-func (g *Gateway) encodeEntries(after mirror.Position) (encodedEntries, error) {
+// encodeEntries returns the encoded entries that changed after a position. They are encoded
+// once for all followers that are at the same position. All entries, which instances that
+// start ask for, aren't compressed again at each change: what has changed since follows them.
+func (g *Gateway) encodeEntries(after mirror.Position, mayCompress bool) (encodedEntries, error) {
 	g.copyMu.Lock()
 	defer g.copyMu.Unlock()
 	var at mirror.Position
 	g.state.withLock(func() { at = g.state.mirror.Position() })
 	for _, e := range g.copies {
-		if e.after == after && e.at == at {
+		if e.after == after && e.at == at && (mayCompress || len(e.later) == 0) {
+			return e, nil
+		}
+	}
+	if after.Counter == 0 && mayCompress {
+		if e, ok := g.extendFullCopy(); ok {
+			g.keepCopy(e)
 			return e, nil
 		}
 	}
@@ -230,10 +243,37 @@
 			return encodedEntries{}, err
 		}
 		e.compressed = appendText(nil, fieldCompressed, string(compressed))
+		g.fullCopy = e
+		g.count("Mirror.Compressed")
+	}
+	g.keepCopy(e)
+	return e, nil
+}
+
+// extendFullCopy returns all entries as they were compressed last, with what has changed since.
+// It returns false if that is too much. The caller holds copyMu.
+func (g *Gateway) extendFullCopy() (encodedEntries, bool) {
+	e := g.fullCopy
+	var later mirror.Delta
+	current := false
+	g.state.withLock(func() {
+		m := g.state.mirror
+		current = e.compressed != nil && (m.Position() == e.at || m.IsAfter(e.at))
+		if current {
+			later = m.Since(e.at)
+		}
+	})
+	if !current || later.Full || len(later.Entries) > maxLaterEntries {
+		return encodedEntries{}, false
 	}
+	e.at, e.later = later.At, appendEntries(nil, later.Entries)
+	return e, true
+}
+
+// keepCopy keeps an answer for other followers. The caller holds copyMu.
+func (g *Gateway) keepCopy(e encodedEntries) {
 	g.copies[g.nextCopy] = e
 	g.nextCopy = (g.nextCopy + 1) % len(g.copies)
-	return e, nil
 }
 
 // compress returns content compressed.
@@ -368,6 +408,7 @@
 
 func decodeMirrorCopy(b []byte) (mirrorCopy, error) {
 	var c mirrorCopy
+	compressed := false
 	err := forEachField(b, func(n protowire.Number, v uint64, content []byte) error {
 		switch n {
 		case fieldCounter:
@@ -391,13 +432,32 @@
 		case fieldCompressed:
 			entries, err := decodeCompressed(content)
 			c.Entries = append(c.Entries, entries...)
+			compressed = true
 			return err
 		}
 		return nil
 	})
+	if compressed {
+		c.Entries = latestEntries(c.Entries)
+	}
 	return c, err
 }
 
+// latestEntries, which changes entries, returns the last entry of each key, without those that were removed.
+func latestEntries(entries []store.Entry) []store.Entry {
+	latest := make(map[string]int, len(entries))
+	for i, e := range entries {
+		latest[e.Key] = i
+	}
+	list := entries[:0]
+	for i, e := range entries {
+		if latest[e.Key] == i && e.Version > 0 {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // decodeCompressed decodes entries that were compressed.
 func decodeCompressed(b []byte) ([]store.Entry, error) {
 	plain, err := decompress(b)
--- /dev/null
+++ b/internal/gateway/mirrorcopy_test.go
@@ -0,0 +1,55 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/gateway"
+)
+
+// compressions returns how often an instance has compressed all entries.
+func (f *testFleet) compressions(g *gateway.Gateway) int {
+	n := 0
+	if m := regexp.MustCompile(`Mirror\.Compressed (\d+)`).FindStringSubmatch(f.metrics(g)); m != nil {
+		_, _ = fmt.Sscan(m[1], &n)
+	}
+	return n
+}
+
+// Guards against a zone whose instances start again one by one for seconds, because all that
+// the store holds is compressed anew for each of them: each registers and so changes it.
+func TestStartingInstancesGetWhatWasCompressedOnce(t *testing.T) {
+	const (
+		targets = 300
+		started = 8
+	)
+	is := is.New(t)
+	f := newTestFleet(t, 1, 3)
+	entry := func(i int) string { return fmt.Sprintf("%smill-%03d", targetPrefix, i) }
+	for i := range targets {
+		f.memory.put(entry(i), fmt.Appendf(nil, "127.0.0.1:%d", 10_000+i), 0)
+	}
+	for i := range started {
+		f.startInstance("a")
+		f.awaitMembers()
+		// What has been compressed is no longer what the store holds.
+		f.memory.put(entry(i), nil, 0)
+		f.memory.put(entry(targets+i), fmt.Appendf(nil, "127.0.0.1:%d", 20_000+i), 0)
+		f.memory.put(entry(targets/2), fmt.Appendf(nil, "127.0.0.1:%d", 30_000+i), 0)
+	}
+	all := 0
+	for _, g := range f.instances {
+		all += f.compressions(g)
+		is.True(f.compressions(g) <= 1)
+		f.await(func() bool {
+			return strings.Contains(f.metrics(g), fmt.Sprintf("Fleet.Targets %d\n", 3+targets))
+		})
+		is.Equal(f.send(g, http.MethodGet, "/one/1", "key-1"), http.StatusOK)
+	}
+	is.True(all > 0)
+}
