Log no line for each target when an instance starts

Cause: these lines were meant for debugging while the mirror isn't confirmed, but since an instance copies entries and confirmation together it always is. TestStartingInstanceLogsNoLineForEachTarget failed before.

--- a/internal/gateway/mirrorcopy_test.go
+++ b/internal/gateway/mirrorcopy_test.go
@@ -53,3 +53,16 @@
 	}
 	is.True(all > 0)
 }
+
+// Guards against instances that spend their first second on a line for each target that the
+// store holds.
+func TestStartingInstanceLogsNoLineForEachTarget(t *testing.T) {
+	const targets = 20
+	is := is.New(t)
+	f := newTestFleet(t, 1, targets)
+	f.startInstance("a")
+	f.awaitMembers()
+	is.Equal(strings.Count(f.log.String(), "msg=\"target registered\" Instance=1 "), 0)
+	f.memory.put(targetPrefix+"mill-a", []byte("127.0.0.1:10000"), 0)
+	f.await(func() bool { return strings.Count(f.log.String(), "msg=\"target registered\"") == len(f.instances) })
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -52,8 +52,10 @@
 type localState struct {
 	gateway *Gateway
 
-	mu       sync.Mutex
-	mirror   *mirror.Mirror
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+	// loading is set while the first content of the store is applied.
+	loading  bool
 	targets  *target.Registry
 	members  map[instance.Address]member
 	roster   *roster.Roster
@@ -202,7 +204,9 @@
 	}
 	// What a store that was set back has lost is written again by those who wrote it, as
 	// after an outage.
+	st.loading = initial
 	targetsChanged, membersChanged := st.applyEntries(now, changes, outage || setBack)
+	st.loading = false
 	if initial && !st.mirror.Empty() {
 		st.gateway.logger.Info("store content received",
 			slog.Int64("Counter", at.Counter),
@@ -317,7 +321,7 @@
 		return false
 	}
 	level := slog.LevelInfo
-	if _, confirmed := st.mirror.ConfirmedAt(); !confirmed {
+	if st.loading {
 		level = slog.LevelDebug // one of all that the store holds
 	}
 	log.Log(context.Background(), level, "target registered",
