--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -251,11 +251,13 @@
 type failingSlot struct {
 	entry.Slot
 	beforeSend bool
+	failures   *atomic.Int64
 }
 
 // MaySend implements entry.Slot.
 func (s failingSlot) MaySend() bool {
 	if s.beforeSend {
+		s.failures.Add(1)
 		panic("slot failed")
 	}
 	return s.Slot.MaySend()
@@ -265,6 +267,7 @@
 func (s failingSlot) Release(r entry.AttemptResult) {
 	s.Slot.Release(r)
 	if !s.beforeSend {
+		s.failures.Add(1)
 		panic("release failed")
 	}
 }
