Let TestRelayedRequestsAreBounded hold its requests until all have arrived

The requests that fill the instance waited to their deadline of 2 s, and the test took 2.59 s: the last one arrived after the first had ended, so it was rightly let in. Now they wait until each request has been taken or declined; the bounds are as they were.

--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -397,7 +397,9 @@
 func TestRelayedRequestsAreBounded(t *testing.T) {
 	is := is.New(t)
 	e := newRelayEnv(t, 1, 0)
-	full := &fullDispatcher{}
+	full := &fullDispatcher{
+		released: make(chan struct{}),
+	}
 	helper := entry.New(entry.Dependencies{
 		Snapshots:  e,
 		Admission:  e.helperAdmission,
@@ -417,23 +419,26 @@
 			}
 		})
 	}
+	waitUntil(t, func() bool { return full.waiting.Load()+declined.Load() == entry.MaxRelayedRequests+surplus })
+	close(full.released)
 	calls.Wait()
 	is.Equal(full.most.Load(), int64(entry.MaxRelayedRequests))
 	is.Equal(declined.Load(), int64(surplus))
 }
 
-// fullDispatcher has no free slots. Requests wait to their deadline.
+// fullDispatcher has no free slots. Requests wait until released is closed.
 type fullDispatcher struct {
-	waiting atomic.Int64
-	most    atomic.Int64
+	waiting  atomic.Int64
+	most     atomic.Int64
+	released chan struct{}
 }
 
-func (d *fullDispatcher) Acquire(ctx context.Context, _ entry.SlotRequest) (entry.Slot, error) {
+func (d *fullDispatcher) Acquire(context.Context, entry.SlotRequest) (entry.Slot, error) {
 	waiting := d.waiting.Add(1)
 	defer d.waiting.Add(-1)
 	for most := d.most.Load(); waiting > most && !d.most.CompareAndSwap(most, waiting); most = d.most.Load() {
 	}
-	<-ctx.Done()
+	<-d.released
 	return nil, &entry.Refusal{
 		Status: http.StatusServiceUnavailable,
 		Reason: "no-slot",
