Count an instance that lacks links once, however many requests it has declined

What callers saw: instances that had lost their links refused requests at once ("no instance reaches the service") 1.0 s after the loss, although two instances had links.

Cause: after four answers in a row of instances that don't reach the service either, none is tried for a second. Requests that went through the same instance at the same time each counted for one. Reads in progress that move at the loss of links made that more frequent.

Now each instance counts once.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -149,6 +149,10 @@
 			calls.Wait()
 			for _, out := range replies {
 				if out.sentAt.Sub(cutAt) > noticeTime {
+					if out.status != http.StatusOK {
+						t.Logf("sent %v after the loss: %+v", out.sentAt.Sub(cutAt), out)
+						f.logLines("Status=50", "impaired", "links to service", "no instance reaches", "did not answer", "restored")
+					}
 					is.Equal(out.status, http.StatusOK)
 				}
 				if out.status == http.StatusServiceUnavailable {
--- a/pkg/link/helpers.go
+++ b/pkg/link/helpers.go
@@ -112,7 +112,9 @@
 		zone:    a.Zone,
 		service: service,
 	}] = now + exclusionTerm
-	list := append(h.cutOff[service], a)
+	// Several requests may have gone through an instance before its first answer.
+	list := slices.DeleteFunc(h.cutOff[service], func(m instance.Info) bool { return m.Address == a.Address })
+	list = append(list, a)
 	h.cutOff[service] = list[max(len(list)-maxRemembered, 0):]
 	seen := map[string]struct{}{}
 	for _, m := range h.cutOff[service] {
--- a/pkg/link/helpers_test.go
+++ b/pkg/link/helpers_test.go
@@ -121,6 +121,20 @@
 			},
 			zone: "bc",
 		},
+		{
+			// Guards against callers that are refused although others reach the service,
+			// because requests that went through the same instances at the same time were
+			// answered one after the other.
+			name: "three instances of three zones say so to several requests each",
+			tell: func(h *link.Helpers) {
+				for range 4 {
+					h.CutOff(start, list[1], "desk", 3)
+					h.CutOff(start, list[3], "desk", 3)
+					h.CutOff(start, list[6], "desk", 3)
+				}
+			},
+			zone: "a",
+		},
 		{
 			name: "an instance of the own zone and one of another",
 			tell: func(h *link.Helpers) {
