--- a/pkg/source/doc.go
+++ b/pkg/source/doc.go
@@ -35,4 +35,15 @@
 //	case source.Wait:
 //		// Ask again after a.For.
 //	}
+//
+// An instance that is asked for what it has:
+//
+//	switch r := c.Answer(now, arrivedAt, content).(type) {
+//	case source.Give:
+//		// Answer with the content.
+//	case source.Hold:
+//		// Decide again at r.Until, or when the content changes or is confirmed.
+//	case source.Decline:
+//		// Tell the follower to find another instance.
+//	}
 package source
