Begin attempts beside overdue reads only while targets have room to spare

Cause: on an overloaded service most reads are overdue, and some target always has a free slot for a moment; the second attempts take the time of other requests.

Now such an attempt goes only to a sound target that then has at most half of its slots in use. TestOverloadedServiceGetsNoSpareAttempts failed before.

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -44,6 +44,9 @@
 	// which a target was ejected, that end the ejection. A target with a gray failure
 	// answers a few percent of its requests.
 	laterSuccesses = 2
+	// spareSlotFactor is how many slots a target must have for each one in use to get a
+	// request that may be in vain.
+	spareSlotFactor = 2
 	// shedPause is how long a target gets no requests after it has shed one.
 	shedPause = 300 * time.Millisecond
 	// errorWindow is how long a server error, a truncated answer or a timeout counts.
@@ -143,7 +146,9 @@
 	Avoid []string
 	// Prefer holds the names of targets that are chosen before others, wherever they are.
 	Prefer []string
-	// Spare is set if the request is worth sending only to a sound target with a free slot.
+	// Spare is set if the request is worth sending only to a sound target that has at most
+	// half of its slots in use: it may be in vain, and a target that is busier soon has others
+	// wait for it.
 	Spare bool
 }
 
@@ -210,7 +215,7 @@
 		}
 		all++
 		switch {
-		case r.Spare && s.inUse(now) >= s.Slots:
+		case r.Spare && spareSlotFactor*(s.inUse(now)+1) > s.Slots:
 		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -48,6 +48,31 @@
 
 const now = time.Minute
 
+// Guards against an overloaded service that gets second attempts at reads, since some target
+// always has a free slot for a moment.
+func TestOverloadedServiceGetsNoSpareAttempts(t *testing.T) {
+	const targets, slots = 4, 6
+	for inUse := range slots + 1 {
+		is := is.New(t)
+		table := newTable(targets)
+		for i := range targets {
+			table.ReceiveLoad(now, "10.1.0.1:7000", outlier.Load{
+				Target:  fmt.Sprintf("desk-%02d", i),
+				Running: inUse,
+			}, time.Second)
+		}
+		_, ok := table.Choose(now, outlier.Request{
+			Repeatable: true,
+			Spare:      true,
+		})
+		is.Equal(ok, inUse < slots/2)
+		_, ok = table.Choose(now, outlier.Request{
+			Repeatable: true,
+		})
+		is.True(ok)
+	}
+}
+
 func TestWhichFailuresEjectATarget(t *testing.T) {
 	tests := []struct {
 		name    string
