--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -151,8 +151,8 @@
 }
 
 // start begins the next attempt: at a target, or through another instance if this one has
-// no links to the targets. beside says that another one is in progress. It ends if its links
-// are lost, and the next attempt replaces it.
+// no links to the targets. beside says that another one is in progress. If the links are lost
+// meanwhile, that one is cancelled, and the next attempt replaces it.
 func (r *race) start(beside bool) {
 	x := r.exchange
 	relay, err := x.acquireRelay(r.ctx)
