--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -145,11 +145,7 @@
 		g.reportOutcome(f.Report, notify[i])
 	}
 	for _, f := range actions.Excused {
-		g.count("Link.Excused." + f.Report.outcome.String())
-		g.logger.Info("failure excused by lost links",
-			slog.String("Service", f.Service),
-			slog.String("Target", f.Target),
-			slog.String("Outcome", f.Report.outcome.String()))
+		g.logExcused(f)
 	}
 	for _, t := range actions.Tests {
 		go g.contain(func() { g.testTarget(t) })
@@ -176,6 +172,23 @@
 	}
 }
 
+// logExcused records that a failure doesn't count against its target.
+func (g *Gateway) logExcused(f link.Failure[attemptReport]) {
+	g.count("Link.Excused." + f.Report.outcome.String())
+	attributes := []any{
+		slog.String("Service", f.Service),
+		slog.String("Target", f.Target),
+		slog.String("Outcome", f.Report.outcome.String()),
+		slog.String("Excuse", f.Excuse.String()),
+	}
+	if p := f.Report.permit; p != nil && crashes(f.Report.outcome) {
+		attributes = append(attributes,
+			slog.String("Request", p.requestID),
+			slog.String("Fingerprint", p.fingerprint.String()))
+	}
+	g.logger.Info("failure excused by lost links", attributes...)
+}
+
 // testTarget connects to a target, closes the connection, and reports whether the target
 // was reached.
 func (g *Gateway) testTarget(t link.Test) bool {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -115,7 +115,7 @@
 // recordStrike records a strike if the attempt ended with its connection. It reports
 // whether it did.
 func (p *permit) recordStrike(targetName string, outcome target.Outcome) bool {
-	if outcome != target.Crashed && outcome != target.Disconnected {
+	if !crashes(outcome) {
 		return false
 	}
 	g := p.gateway
@@ -135,6 +135,9 @@
 	return true
 }
 
+// crashes reports whether an attempt that ended so may have crashed its target.
+func crashes(o target.Outcome) bool { return o == target.Crashed || o == target.Disconnected }
+
 // addStrike records a strike that this instance has seen or was told of. It reports
 // whether the request is quarantined by it. The caller must hold mu.
 func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome, own bool) bool {
--- a/pkg/link/monitor.go
+++ b/pkg/link/monitor.go
@@ -76,6 +76,52 @@
 	Unconnected bool
 	// Report is what the caller needs to report the failure.
 	Report R
+	// Excuse is why the failure was excused, if it was.
+	Excuse Excuse
+}
+
+// Excuse is a reason why a failure doesn't count against its target.
+type Excuse int
+
+// Values of Excuse.
+const (
+	// NotExcused is set unless the failure was excused.
+	NotExcused Excuse = iota
+	// AllLinksLost means that the instance reaches no service.
+	AllLinksLost
+	// NoContactSince means that the instance has connected to no target at all since the
+	// failure.
+	NoContactSince
+	// LinksRestored means that the attempt was in progress while links were lost.
+	LinksRestored
+	// ReachedByOthers means that another instance has connected to the target since.
+	ReachedByOthers
+	// TargetRemoved means that the target takes no part any more in serving its service.
+	TargetRemoved
+	// TooManyHeld means that too many failures were undecided.
+	TooManyHeld
+)
+
+// String returns the excuse as it appears in logs.
+func (e Excuse) String() string {
+	switch e {
+	case NotExcused:
+		return "none"
+	case AllLinksLost:
+		return "all-links-lost"
+	case NoContactSince:
+		return "no-contact-since"
+	case LinksRestored:
+		return "links-restored"
+	case ReachedByOthers:
+		return "reached-by-others"
+	case TargetRemoved:
+		return "target-removed"
+	case TooManyHeld:
+		return "too-many-held"
+	default:
+		return "unknown"
+	}
 }
 
 // Target is a target that can be tested.
@@ -233,7 +279,7 @@
 func (m *Monitor[R]) Hold(f Failure[R]) {
 	s := m.service(f.Service)
 	if len(s.held) >= maxHeld {
-		m.settle(f, false)
+		m.excuse(f, TooManyHeld)
 		return
 	}
 	s.held = append(s.held, f)
@@ -308,13 +354,10 @@
 	}
 }
 
-// settle decides about a failure.
-func (m *Monitor[R]) settle(f Failure[R], blamed bool) {
-	if blamed {
-		m.pending.Blamed = append(m.pending.Blamed, f)
-	} else {
-		m.pending.Excused = append(m.pending.Excused, f)
-	}
+// excuse decides that a failure doesn't count against its target.
+func (m *Monitor[R]) excuse(f Failure[R], e Excuse) {
+	f.Excuse = e
+	m.pending.Excused = append(m.pending.Excused, f)
 }
 
 // EndTest records that a test has ended. It is called after ConnectSucceeded or
--- a/pkg/link/monitor_test.go
+++ b/pkg/link/monitor_test.go
@@ -306,6 +306,37 @@
 			tests:   -1,
 			state:   link.Unreachable,
 		},
+		{
+			name: "all links are lost and others don't reach the target either",
+			play: func(n *testNetwork) {
+				for name := range n.targets {
+					n.linksLost[name] = true
+				}
+				n.down["desk-0"] = true
+				n.fail("desk", "desk-0", time.Second)
+				n.fail("till", "till-0", time.Second)
+				n.run(time.Second)
+			},
+			blamed:  []string{"desk-0"},
+			excused: []string{"till-0"},
+			tests:   -1,
+			state:   link.Unreachable,
+		},
+		{
+			name: "links were lost when the attempt began, and then its target has crashed",
+			play: func(n *testNetwork) {
+				n.linksLost["desk"] = true
+				n.connect("desk", "desk-1")
+				n.run(500 * time.Millisecond)
+				delete(n.linksLost, "desk")
+				n.run(500 * time.Millisecond)
+				n.down["desk-0"] = true
+				n.fail("desk", "desk-0", 800*time.Millisecond)
+				n.run(time.Second)
+			},
+			blamed: []string{"desk-0"},
+			tests:  -1,
+		},
 		{
 			name: "a request crashes one target after the other",
 			play: func(n *testNetwork) {
--- a/pkg/link/step.go
+++ b/pkg/link/step.go
@@ -58,7 +58,7 @@
 func (m *Monitor[R]) forget(name string) {
 	s := m.services[name]
 	for _, f := range s.held {
-		m.settle(f, false)
+		m.excuse(f, TargetRemoved)
 	}
 	if s.impaired {
 		m.pending.Restored = append(m.pending.Restored, name)
@@ -83,7 +83,7 @@
 	s.held = slices.DeleteFunc(s.held, func(f Failure[R]) bool {
 		_, ok := listed[f.Target]
 		if !ok {
-			m.settle(f, false)
+			m.excuse(f, TargetRemoved)
 		}
 		return !ok
 	})
@@ -254,51 +254,58 @@
 	s := m.services[name]
 	var rest []Failure[R]
 	for _, f := range s.held {
-		settled, blamed := m.verdict(now, s, f, allLost)
-		if settled {
-			m.settle(f, blamed)
-		} else {
+		settled, excuse := m.verdict(now, s, f, allLost)
+		switch {
+		case !settled:
 			rest = append(rest, f)
+		case excuse == NotExcused:
+			m.pending.Blamed = append(m.pending.Blamed, f)
+		default:
+			m.excuse(f, excuse)
 		}
 	}
 	s.held = rest
 }
 
-// verdict reports whether a failure is settled, and whether it counts against its target.
-func (m *Monitor[R]) verdict(now time.Duration, s *service[R], f Failure[R], allLost bool) (settled, blamed bool) {
+// verdict reports whether a failure is settled, and why it is excused unless it counts against
+// its target.
+func (m *Monitor[R]) verdict(now time.Duration, s *service[R], f Failure[R], allLost bool) (settled bool, e Excuse) {
 	r, known := s.results[f.Target]
 	tested := known && r.began >= f.At
 	switch {
 	case allLost:
-		return true, false
+		return true, AllLinksLost
 	case f.Began < s.restoredAt && (f.Unconnected || tested):
-		// The attempt was under way while links were lost.
-		return true, false
+		return true, LinksRestored
+	case f.Unconnected && s.impaired && s.testified:
+		return true, ReachedByOthers
 	case f.Unconnected && s.impaired:
-		return s.testified || now >= max(s.impairedAt, f.At)+testimonyTime, !s.testified
+		return now >= max(s.impairedAt, f.At)+testimonyTime, NotExcused
 	case f.Unconnected:
-		return s.contactBegan >= f.At, true
+		return s.contactBegan >= f.At, NotExcused
 	case !tested:
-		return false, false
+		return false, NotExcused
 	case r.connected:
-		return true, true
+		return true, NotExcused
 	}
 	return m.askedVerdict(now, s, f)
 }
 
 // askedVerdict is the verdict about a failure whose target can't be connected to. Others are
 // asked about the target unless they have been.
-func (m *Monitor[R]) askedVerdict(now time.Duration, s *service[R], f Failure[R]) (settled, blamed bool) {
+func (m *Monitor[R]) askedVerdict(now time.Duration, s *service[R], f Failure[R]) (settled bool, e Excuse) {
+	contact := m.contactBegan >= f.At
 	switch asked := s.questions[f.Target]; {
 	case asked.askedAt < f.At:
 		m.ask(now, f.Service, f.Target)
-		return false, false
+		return false, NotExcused
 	case asked.reached:
-		return true, false
+		return true, ReachedByOthers
+	case contact:
+		return asked.answered || now >= asked.askedAt+testimonyTime, NotExcused
 	default:
 		// Without contact to any target this instance is no witness.
-		contact := m.contactBegan >= f.At
-		return asked.answered && contact || now >= asked.askedAt+testimonyTime, contact
+		return now >= asked.askedAt+testimonyTime, NoContactSince
 	}
 }
 
