Count a crash that another instance confirms, also without links of one's own

What callers saw: requests that crash each target that runs them went on doing so while most targets of a service were down.

Cause: an instance that has connected to nothing since the crash, or to no service at all, excused it as its own lost links; so did one whose links seemed restored since the attempt began. Others were asked, but their answer was only "I reach it" or nothing, although an instance that can't connect to this target while it connects to others shows that the target is down.

Why this works: a witness says Unreached if it can't connect to the target but to another one. That counts against the target, whatever the asking instance reaches. Links that are restored excuse only failures of targets that can be connected to.

A response of an earlier build has no such field and means what it meant; an earlier build skips the field.

--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -114,6 +114,14 @@
 			},
 			want: "08021007300138fa01",
 		},
+		{
+			name: "testimony that a target can't be connected to",
+			m: decisionResponse{
+				Number:    7,
+				Unreached: true,
+			},
+			want: "08021007300070013800",
+		},
 		{
 			name: "failure",
 			m: failureReport{
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -78,11 +78,11 @@
 		if keeper == g.self.Address {
 			return g.decideAsKeeper(r)
 		}
-		if decision, ok := g.askKeeper(ctx, keeper, r); ok {
+		if response, ok := g.askKeeper(ctx, keeper, r); ok {
 			if r.Kind == organisationRate {
-				g.state.withLock(func() { g.state.localRates.RecordDecision(boot.Now(), r.Name, decision.Granted) })
+				g.state.withLock(func() { g.state.localRates.RecordDecision(boot.Now(), r.Name, response.Granted) })
 			}
-			return decision
+			return response.Decision
 		}
 		if ctx.Err() != nil {
 			return meter.Decision{}
@@ -113,7 +113,7 @@
 
 // askKeeper sends a decision request and waits for the response. It reports false if
 // none came after all sendings, or if ctx ended.
-func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, r decisionRequest) (meter.Decision, bool) {
+func (g *Gateway) askKeeper(ctx context.Context, keeper instance.Address, r decisionRequest) (decisionResponse, bool) {
 	number, response := g.pending.add()
 	defer g.pending.remove(number)
 	r.Number = number
@@ -128,14 +128,14 @@
 		select {
 		case answer := <-response:
 			timer.Stop()
-			return answer.Decision, true
+			return answer, true
 		case <-ctx.Done():
 			timer.Stop()
-			return meter.Decision{}, false
+			return decisionResponse{}, false
 		case <-timer.C:
 		}
 	}
-	return meter.Decision{}, false
+	return decisionResponse{}, false
 }
 
 // handleDecisionRequest answers a decision request, or forwards it once: the sender's
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -25,7 +25,9 @@
 	case keeper == g.self.Address:
 		decision, answered = g.decideAsKeeper(r), true
 	case !g.isUnresponsive(keeper):
-		decision, answered = g.askKeeper(ctx, keeper, r)
+		var response decisionResponse
+		response, answered = g.askKeeper(ctx, keeper, r)
+		decision = response.Decision
 		if !answered && ctx.Err() == nil {
 			g.state.markUnresponsive(keeper, r.Kind.String()+" "+r.Name)
 		}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -218,27 +218,34 @@
 	}
 	var witnesses []instance.Address
 	g.state.withLock(func() { witnesses = g.state.witnesses(q.Target) })
-	var reached atomic.Bool
+	var reached, unreached atomic.Bool
 	group := sync.WaitGroup{}
 	for _, a := range witnesses {
 		group.Go(g.contained(func() {
-			decision, _ := g.askKeeper(context.Background(), a, request)
-			if decision.Granted && !reached.Swap(true) {
-				g.recordTestimony(q, true)
+			answer, ok := g.askKeeper(context.Background(), a, request)
+			switch {
+			case ok && answer.Granted && !reached.Swap(true):
+				g.recordTestimony(q, link.Reached)
+			case ok && answer.Unreached:
+				unreached.Store(true)
 			}
 		}))
 	}
 	go g.contain(func() {
 		group.Wait()
-		if !reached.Load() {
-			g.recordTestimony(q, false)
+		switch {
+		case reached.Load():
+		case unreached.Load():
+			g.recordTestimony(q, link.Unreached)
+		default:
+			g.recordTestimony(q, link.Unknown)
 		}
 	})
 }
 
 // recordTestimony records what other instances have answered to a question.
-func (g *Gateway) recordTestimony(q link.Question, reached bool) {
-	g.state.withLock(func() { g.state.links.Testify(q, reached) })
+func (g *Gateway) recordTestimony(q link.Question, t link.Testimony) {
+	g.state.withLock(func() { g.state.links.Testify(q, t) })
 	g.stepLinks()
 }
 
@@ -255,7 +262,8 @@
 	return list[:min(len(list), maxWitnesses)]
 }
 
-// answerContact answers whether this instance can connect to a target.
+// answerContact answers whether this instance can connect to a target, and if not, whether it
+// can connect to another one.
 func (g *Gateway) answerContact(from instance.Address, m decisionRequest) {
 	var test link.Test
 	known := false
@@ -263,10 +271,36 @@
 	response := decisionResponse{
 		Number: m.Number,
 	}
+	began := boot.Now()
 	response.Granted = known && g.testTarget(test)
+	response.Unreached = known && !response.Granted && g.reachesOthers(began, test)
 	g.send(from, response)
 }
 
+// reachesOthers reports whether this instance has connected to a target other than the tested
+// one since a time, or can do so now.
+func (g *Gateway) reachesOthers(since time.Duration, t link.Test) bool {
+	var controls []link.Test
+	var reached atomic.Bool
+	st := g.state
+	st.withLock(func() {
+		reached.Store(st.links.AnyContactSince(since))
+		if !reached.Load() {
+			controls = st.links.Controls(t, st.testTargets)
+		}
+	})
+	group := sync.WaitGroup{}
+	for _, control := range controls {
+		group.Go(g.contained(func() {
+			if g.testTarget(control) {
+				reached.Store(true)
+			}
+		}))
+	}
+	group.Wait()
+	return reached.Load()
+}
+
 // testOf returns a test of a target, and false if there is no such target. The caller must
 // hold mu.
 func (st *localState) testOf(name string) (link.Test, bool) {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -46,6 +46,9 @@
 type decisionResponse struct {
 	Number uint64
 	meter.Decision
+	// Unreached is set if the sender can't connect to the target that it was asked about,
+	// although it connects to others.
+	Unreached bool
 }
 
 // failureReport reports an attempt that failed at a target, or a request that doesn't crash
@@ -233,7 +236,8 @@
 	fieldForward
 	fieldItem
 	fieldOver
-	lastField = fieldOver
+	fieldUnreached
+	lastField = fieldUnreached
 )
 
 // partsPerMillion is the factor by which a fraction is multiplied to be sent as an
@@ -269,6 +273,9 @@
 		b := appendNumber(nil, fieldType, decisionResponseType)
 		b = appendNumber(b, fieldNumber, m.Number)
 		b = appendNumber(b, fieldGranted, protowire.EncodeBool(m.Granted))
+		if m.Unreached {
+			b = appendNumber(b, fieldUnreached, protowire.EncodeBool(true))
+		}
 		return appendNumber(b, fieldRetryAfter, uint64(m.RetryAfter.Milliseconds()))
 	case loanRequests:
 		b := appendNumber(nil, fieldType, loanRequestsType)
@@ -446,6 +453,7 @@
 				Granted:    protowire.DecodeBool(f.numbers[fieldGranted]),
 				RetryAfter: time.Duration(min(f.numbers[fieldRetryAfter], math.MaxInt32)) * time.Millisecond,
 			},
+			Unreached: protowire.DecodeBool(f.numbers[fieldUnreached]),
 		}, nil
 	case failureReportType:
 		m := failureReport{
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -50,6 +50,13 @@
 				},
 			},
 		},
+		{
+			name: "testimony that a target can't be connected to",
+			m: decisionResponse{
+				Number:    9,
+				Unreached: true,
+			},
+		},
 		{
 			name: "failure report of an unresponsive target",
 			m: failureReport{
--- a/pkg/link/doc.go
+++ b/pkg/link/doc.go
@@ -7,7 +7,9 @@
 // that is closed at once. If that is established, the failure counts against the target.
 //
 // If it isn't, either the target is down or the link to it is lost. Other instances can
-// tell: if one of them reaches the target, the failure is excused. A connection that
+// tell: if one of them reaches the target, the failure is excused; if one of them can't connect
+// to it either, although it reaches others, the failure counts, even where this instance has no
+// links at all. A connection that
 // wasn't established needs no such testimony, since it only keeps this instance from using
 // the target; it counts as soon as any other target of the service has been connected to.
 //
@@ -16,7 +18,7 @@
 // impaired, and others are asked about some of these targets. If one of them reaches any,
 // links are lost, and the service's requests go through another instance; if none does,
 // the targets have failed. Tests go on until most targets can be connected to. An instance
-// that reaches no service at all blames no target.
+// that reaches no service at all blames no target by what it sees itself.
 //
 // Answers on kept connections prove nothing, since these may live on while new ones
 // fail.
--- a/pkg/link/fleet_test.go
+++ b/pkg/link/fleet_test.go
@@ -137,17 +137,17 @@
 	}
 	for _, q := range actions.Questions {
 		x.questions++
-		reached, wait := false, 2*messageTime
+		testimony, wait := link.Unknown, 2*messageTime
 		for range 3 {
 			if w := f.instances[f.Random.IntN(len(f.instances))]; !w.cut && w != x {
-				reached = true
+				testimony = link.Reached
 			}
 		}
-		if !reached && f.settings.unresponsive {
+		if testimony != link.Reached && f.settings.unresponsive {
 			wait += 100 * time.Millisecond
 		}
 		f.After(wait, func() {
-			x.monitor.Testify(q, reached)
+			x.monitor.Testify(q, testimony)
 			x.step()
 		})
 	}
--- a/pkg/link/monitor.go
+++ b/pkg/link/monitor.go
@@ -229,12 +229,26 @@
 	at      time.Duration
 }
 
+// Testimony is what other instances say about a target that this one can't connect to.
+type Testimony int
+
+// Values of Testimony.
+const (
+	// Unknown means that none of those asked can tell.
+	Unknown Testimony = iota
+	// Reached means that one of them reaches the target.
+	Reached
+	// Unreached means that one of them can't connect to the target either, although it
+	// connects to others, and that none reaches it.
+	Unreached
+)
+
 // question is a question about a target.
 type question struct {
 	askedAt time.Duration
-	// answered is set if all have answered, and reached if one reaches the target.
-	answered bool
-	reached  bool
+	// answered is set if all have answered, or one of them reaches the target.
+	answered  bool
+	testimony Testimony
 }
 
 // New returns a Monitor that believes all services to be reachable. random chooses the
@@ -364,23 +378,43 @@
 // ConnectFailed.
 func (m *Monitor[R]) EndTest(t Test) { delete(m.service(t.Service).testing, t.Name) }
 
-// Testify records what other instances have answered to a question: that one of them
-// reaches the target, or that none of those asked does.
-func (m *Monitor[R]) Testify(q Question, reached bool) {
+// Testify records what other instances have answered to a question.
+func (m *Monitor[R]) Testify(q Question, t Testimony) {
 	s := m.service(q.Service)
 	asked, ok := s.questions[q.Target]
 	if !ok {
 		return
 	}
 	asked.answered = true
-	asked.reached = reached
+	asked.testimony = t
 	s.questions[q.Target] = asked
 	m.urgent[q.Service] = struct{}{}
-	if reached {
+	if t == Reached {
 		m.testify(q.Service)
 	}
 }
 
+// Controls returns tests of some other targets, which show whether this instance has any
+// links when it can't connect to a target: one of the same service, and of controlTests other
+// services.
+func (m *Monitor[R]) Controls(t Test, targets func(service string) []Target) []Test {
+	names := slices.DeleteFunc(slices.Clone(m.names), func(name string) bool { return name == t.Service })
+	m.shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	names = append(names[:min(controlTests, len(names))], t.Service)
+	var tests []Test
+	for _, name := range names {
+		list := slices.DeleteFunc(slices.Clone(targets(name)), func(other Target) bool { return other.Name == t.Name })
+		if len(list) == 0 {
+			continue
+		}
+		tests = append(tests, Test{
+			Service: name,
+			Target:  list[m.random.IntN(len(list))],
+		})
+	}
+	return tests
+}
+
 // testify records that another instance reaches a target of a service that this one
 // doesn't.
 func (m *Monitor[R]) testify(name string) {
@@ -455,6 +489,10 @@
 	return lost > 0 && lost >= min(2, len(m.names)) && m.contactAt < lostAt
 }
 
+// AnyContactSince reports whether a connection to any target was begun at or after a time and
+// established.
+func (m *Monitor[R]) AnyContactSince(since time.Duration) bool { return m.contactBegan >= since }
+
 // ContactSince reports whether a connection to the service was begun at or after a time and
 // established.
 func (m *Monitor[R]) ContactSince(name string, at time.Duration) bool {
--- a/pkg/link/monitor_test.go
+++ b/pkg/link/monitor_test.go
@@ -131,8 +131,12 @@
 		}
 		n.asked = append(n.asked, actions.Questions...)
 		for _, q := range actions.Questions {
-			if n.helper {
-				n.monitor.Testify(q, !n.down[q.Target])
+			switch {
+			case !n.helper:
+			case n.down[q.Target]:
+				n.monitor.Testify(q, link.Unreached)
+			default:
+				n.monitor.Testify(q, link.Reached)
 			}
 		}
 		for _, f := range actions.Blamed {
--- a/pkg/link/step.go
+++ b/pkg/link/step.go
@@ -220,7 +220,7 @@
 		switch asked, ok := s.questions[target]; {
 		case !ok:
 			m.ask(now, name, target)
-		case asked.reached:
+		case asked.testimony == Reached:
 			m.testify(name)
 		}
 	}
@@ -270,42 +270,60 @@
 // verdict reports whether a failure is settled, and why it is excused unless it counts against
 // its target.
 func (m *Monitor[R]) verdict(now time.Duration, s *service[R], f Failure[R], allLost bool) (settled bool, e Excuse) {
+	if f.Unconnected {
+		return m.unconnectedVerdict(now, s, f, allLost)
+	}
 	r, known := s.results[f.Target]
 	tested := known && r.began >= f.At
+	switch {
+	case allLost:
+		// Its own tests show nothing now, but others can tell.
+	case !tested:
+		return false, NotExcused
+	case r.connected && f.Began < s.restoredAt:
+		return true, LinksRestored
+	case r.connected:
+		return true, NotExcused
+	}
+	return m.askedVerdict(now, s, f, allLost)
+}
+
+// unconnectedVerdict is the verdict about a connection that wasn't established.
+func (m *Monitor[R]) unconnectedVerdict(now time.Duration, s *service[R], f Failure[R], allLost bool) (settled bool, e Excuse) {
 	switch {
 	case allLost:
 		return true, AllLinksLost
-	case f.Began < s.restoredAt && (f.Unconnected || tested):
+	case f.Began < s.restoredAt:
 		return true, LinksRestored
-	case f.Unconnected && s.impaired && s.testified:
+	case s.impaired && s.testified:
 		return true, ReachedByOthers
-	case f.Unconnected && s.impaired:
+	case s.impaired:
 		return now >= max(s.impairedAt, f.At)+testimonyTime, NotExcused
-	case f.Unconnected:
+	default:
 		return s.contactBegan >= f.At, NotExcused
-	case !tested:
-		return false, NotExcused
-	case r.connected:
-		return true, NotExcused
 	}
-	return m.askedVerdict(now, s, f)
 }
 
-// askedVerdict is the verdict about a failure whose target can't be connected to. Others are
-// asked about the target unless they have been.
-func (m *Monitor[R]) askedVerdict(now time.Duration, s *service[R], f Failure[R]) (settled bool, e Excuse) {
-	contact := m.contactBegan >= f.At
-	switch asked := s.questions[f.Target]; {
+// askedVerdict is the verdict about a failure whose target this instance can't connect to.
+// Others are asked about the target unless they have been.
+func (m *Monitor[R]) askedVerdict(now time.Duration, s *service[R], f Failure[R], allLost bool) (settled bool, e Excuse) {
+	asked := s.questions[f.Target]
+	over := now >= asked.askedAt+testimonyTime
+	switch {
 	case asked.askedAt < f.At:
 		m.ask(now, f.Service, f.Target)
 		return false, NotExcused
-	case asked.reached:
+	case asked.testimony == Reached:
 		return true, ReachedByOthers
-	case contact:
-		return asked.answered || now >= asked.askedAt+testimonyTime, NotExcused
+	case asked.testimony == Unreached:
+		return true, NotExcused
+	case allLost:
+		return asked.answered || over, AllLinksLost
+	case m.contactBegan >= f.At:
+		return asked.answered || over, NotExcused
 	default:
 		// Without contact to any target this instance is no witness.
-		return now >= asked.askedAt+testimonyTime, NoContactSince
+		return over, NoContactSince
 	}
 }
 
