Count a strike once its target turns out to have ended; count each run of a target

What callers saw: requests that crash each target that runs them went on doing so for seconds while most targets were down.

Cause: a crash that no other instance can confirm (all targets of the only service are down, no witness answers, the target's registration ended first) was excused, and its strike was dropped for good. Besides, a tally counted each target's name once, so that a service of few targets that start again under their names was crashed for ever.

It counts, and is reported, once the registrations show that the target's run has ended. A connection that only lost links ended leaves its target's run as it was, so its strike never counts. Failure reports name the run in a field that earlier builds skip; a report without it counts by the name, as before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -332,6 +332,8 @@
 		reused:  e.Reused,
 		rested:  e.Rested,
 		permit:  sl.permit,
+
+		incarnation: sl.incarnation,
 	}
 	held := e.LostConnection && report.outcome != target.Cancelled
 	notify := false
@@ -409,10 +411,31 @@
 	// reused and rested are as in entry.AttemptResult.
 	reused bool
 	rested time.Duration
+	// incarnation is that of the target when it was chosen.
+	incarnation int64
 	// permit is that of the request; nil if its strike isn't to be recorded.
 	permit *permit
 }
 
+// strike returns the strike that an attempt is if its target has crashed, and false
+// if it can be none.
+func (r attemptReport) strike() (quarantine.UnconfirmedStrike, bool) {
+	if r.permit == nil || r.outcome != target.Crashed && r.outcome != target.Disconnected {
+		return quarantine.UnconfirmedStrike{}, false
+	}
+	return quarantine.UnconfirmedStrike{
+		TallyStrike: quarantine.TallyStrike{
+			Target:      r.target,
+			Incarnation: r.incarnation,
+			Kept:        r.outcome == target.Disconnected,
+			Own:         true,
+		},
+		Fingerprint: r.permit.fingerprint,
+		RequestID:   r.permit.requestID,
+		At:          boot.Now(),
+	}, true
+}
+
 // reportOutcome reports an attempt that counts for its target: the outcome if notify is
 // set, and the strike if its connection died under the request.
 func (g *Gateway) reportOutcome(r attemptReport, notify bool) {
@@ -423,8 +446,10 @@
 	if r.outcome == target.Crashed || r.outcome == target.Succeeded {
 		m.Age = max(boot.Now()-r.began, time.Millisecond)
 	}
-	if r.permit != nil && r.permit.recordStrike(r.target, r.outcome) {
-		m.Suspect = r.permit.fingerprint
+	if s, ok := r.strike(); ok {
+		g.recordStrike(s, false)
+		m.Suspect = s.Fingerprint
+		m.Incarnation = s.Incarnation
 	}
 	if notify {
 		m.Service = r.service
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -145,7 +145,7 @@
 		g.reportOutcome(f.Report, notify[i])
 	}
 	for _, f := range actions.Excused {
-		g.logExcused(f)
+		g.recordExcused(f)
 	}
 	for _, t := range actions.Tests {
 		go g.contain(func() { g.testTarget(t) })
@@ -172,8 +172,9 @@
 	}
 }
 
-// logExcused records that a failure doesn't count against its target.
-func (g *Gateway) logExcused(f link.Failure[attemptReport]) {
+// recordExcused records a failure that doesn't count against its target. Its strike counts
+// later if the target turns out to have ended.
+func (g *Gateway) recordExcused(f link.Failure[attemptReport]) {
 	g.count("Link.Excused." + f.Report.outcome.String())
 	attributes := []any{
 		slog.String("Service", f.Service),
@@ -181,10 +182,11 @@
 		slog.String("Outcome", f.Report.outcome.String()),
 		slog.String("Excuse", f.Excuse.String()),
 	}
-	if p := f.Report.permit; p != nil && crashes(f.Report.outcome) {
+	if s, ok := f.Report.strike(); ok {
 		attributes = append(attributes,
-			slog.String("Request", p.requestID),
-			slog.String("Fingerprint", p.fingerprint.String()))
+			slog.String("Request", s.RequestID),
+			slog.String("Fingerprint", s.Fingerprint.String()))
+		g.state.withLock(func() { g.state.unconfirmed.Add(s) })
 	}
 	g.logger.Info("failure excused by lost links", attributes...)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -57,6 +57,8 @@
 	// Service is empty if the report says nothing about the target.
 	Service string
 	Target  string
+	// Incarnation is that of the target if Suspect is set, and else zero.
+	Incarnation int64
 	// Outcome is that of the attempt. With target.Succeeded the report only clears Suspect.
 	Outcome target.Outcome
 	// Suspect is the fingerprint of the request whose connection to the target ended while
@@ -306,6 +308,9 @@
 		b = appendNumber(b, fieldOutcome, uint64(m.Outcome))
 		if m.Suspect != (quarantine.Fingerprint{}) {
 			b = appendText(b, fieldSuspect, string(m.Suspect[:]))
+			if m.Incarnation > 0 {
+				b = appendNumber(b, fieldNumber, uint64(m.Incarnation))
+			}
 		}
 		if m.Unresponsive {
 			b = appendNumber(b, fieldGranted, protowire.EncodeBool(true))
@@ -461,6 +466,7 @@
 			Target:       f.texts[fieldName],
 			Outcome:      target.Outcome(min(f.numbers[fieldOutcome], math.MaxUint8)),
 			Age:          f.over(),
+			Incarnation:  int64(min(f.numbers[fieldNumber], math.MaxInt64)),
 			Unresponsive: protowire.DecodeBool(f.numbers[fieldGranted]),
 			Forward:      protowire.DecodeBool(f.numbers[fieldForward]),
 		}
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -57,6 +57,15 @@
 				Unreached: true,
 			},
 		},
+		{
+			name: "strike of a run of a target",
+			m: failureReport{
+				Target:      "desk-1",
+				Incarnation: 1780000000000,
+				Outcome:     target.Crashed,
+				Suspect:     quarantine.Fingerprint{1, 2, 3},
+			},
+		},
 		{
 			name: "failure report of an unresponsive target",
 			m: failureReport{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -98,7 +98,7 @@
 	}
 	g := p.gateway
 	tell := false
-	g.state.withLock(func() { tell = g.state.strikes.Clear(p.fingerprint) })
+	g.state.withLock(func() { tell = g.state.clearStrikes(p.fingerprint) })
 	if !tell {
 		return
 	}
@@ -112,42 +112,61 @@
 	g.saveQuarantine(p.fingerprint)
 }
 
-// recordStrike records a strike if the attempt ended with its connection. It reports
-// whether it did.
-func (p *permit) recordStrike(targetName string, outcome target.Outcome) bool {
-	if !crashes(outcome) {
-		return false
-	}
-	g := p.gateway
+// recordStrike records a strike that this instance has seen. confirmed says that it didn't
+// count at first.
+func (g *Gateway) recordStrike(s quarantine.UnconfirmedStrike, confirmed bool) {
 	g.logger.Info("strike",
-		slog.String("Request", p.requestID),
-		slog.String("Fingerprint", p.fingerprint.String()),
-		slog.String("Target", targetName),
-		slog.String("Outcome", outcome.String()))
+		slog.String("Request", s.RequestID),
+		slog.String("Fingerprint", s.Fingerprint.String()),
+		slog.String("Target", s.Target),
+		slog.Int64("Incarnation", s.Incarnation),
+		slog.String("Outcome", strikeOutcome(s.TallyStrike).String()),
+		slog.Bool("Confirmed", confirmed))
 	quarantined := false
-	g.state.withLock(func() { quarantined = g.state.addStrike(p.fingerprint, targetName, outcome, true) })
+	g.state.withLock(func() { quarantined = g.state.strikes.AddStrike(boot.Now(), s.Fingerprint, s.TallyStrike) })
 	if quarantined {
 		g.logger.Warn("request quarantined",
-			slog.String("Request", p.requestID),
-			slog.String("Fingerprint", p.fingerprint.String()))
-		g.saveQuarantine(p.fingerprint)
+			slog.String("Request", s.RequestID),
+			slog.String("Fingerprint", s.Fingerprint.String()))
+		g.saveQuarantine(s.Fingerprint)
 	}
-	return true
 }
 
-// crashes reports whether an attempt that ended so may have crashed its target.
-func crashes(o target.Outcome) bool { return o == target.Crashed || o == target.Disconnected }
+// clearStrikes forgets the strikes of a request and ends its quarantine. It reports whether
+// the other instances should do so, too. The caller must hold mu.
+func (st *localState) clearStrikes(f quarantine.Fingerprint) bool {
+	st.unconfirmed.Clear(f)
+	return st.strikes.Clear(f)
+}
 
-// addStrike records a strike that this instance has seen or was told of. It reports
-// whether the request is quarantined by it. The caller must hold mu.
-func (st *localState) addStrike(f quarantine.Fingerprint, targetName string, outcome target.Outcome, own bool) bool {
-	return st.strikes.AddStrike(boot.Now(), f, quarantine.TallyStrike{
-		Target: targetName,
-		Kept:   outcome == target.Disconnected,
-		Own:    own,
-	})
+// strikeOutcome returns the outcome of the attempt that a strike stands for.
+func strikeOutcome(s quarantine.TallyStrike) target.Outcome {
+	if s.Kept {
+		return target.Disconnected
+	}
+	return target.Crashed
 }
 
+// confirmStrikes records the strikes whose targets have turned out to have ended, and reports
+// them to all instances.
+func (g *Gateway) confirmStrikes() {
+	var confirmed []quarantine.UnconfirmedStrike
+	st := g.state
+	st.withLock(func() { confirmed = st.unconfirmed.Confirm(boot.Now(), st.targets.Ended) })
+	for _, s := range confirmed {
+		g.recordStrike(s, true)
+		g.sendToFleet(failureReport{
+			Target:      s.Target,
+			Incarnation: s.Incarnation,
+			Outcome:     strikeOutcome(s.TallyStrike),
+			Suspect:     s.Fingerprint,
+		})
+	}
+}
+
+// crashes reports whether an attempt that ended so may have crashed its target.
+func crashes(o target.Outcome) bool { return o == target.Crashed || o == target.Disconnected }
+
 // handleSuspect records the strike or the success of a request that another instance has
 // reported. If several instances report their strikes at the same time, none has seen the
 // last one itself, so each of them saves the request's quarantine.
@@ -155,10 +174,15 @@
 	save := false
 	g.state.withLock(func() {
 		if m.Outcome == target.Succeeded {
-			g.state.strikes.Clear(m.Suspect)
+			g.state.clearStrikes(m.Suspect)
 			return
 		}
-		save = g.state.addStrike(m.Suspect, m.Target, m.Outcome, false) && g.state.strikes.HasOwn(m.Suspect)
+		quarantined := g.state.strikes.AddStrike(boot.Now(), m.Suspect, quarantine.TallyStrike{
+			Target:      m.Target,
+			Incarnation: m.Incarnation,
+			Kept:        m.Outcome == target.Disconnected,
+		})
+		save = quarantined && g.state.strikes.HasOwn(m.Suspect)
 	})
 	if save {
 		g.saveQuarantine(m.Suspect)
@@ -256,7 +280,7 @@
 	case outage:
 		st.strikes.Unstored(f)
 	default:
-		st.strikes.Clear(f)
+		st.clearStrikes(f)
 	}
 	st.gateway.logger.Info("quarantine changed",
 		slog.String("Fingerprint", f.String()),
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -44,7 +44,13 @@
 				Suspect: f,
 			}
 			if tt.own {
-				g.state.withLock(func() { g.state.addStrike(f, first.Target, first.Outcome, true) })
+				g.recordStrike(quarantine.UnconfirmedStrike{
+					TallyStrike: quarantine.TallyStrike{
+						Target: first.Target,
+						Own:    true,
+					},
+					Fingerprint: f,
+				}, false)
 			} else {
 				g.handleSuspect(first)
 			}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,6 +68,9 @@
 	// targetLimits holds the limits that targets have named.
 	targetLimits *meter.TargetLimits
 	strikes      *quarantine.Tally
+	// unconfirmed holds the strikes that this instance saw while its links may have been
+	// lost.
+	unconfirmed quarantine.Unconfirmed
 	// links tells whether this instance's links to targets are lost, and targetAt holds
 	// the target at each address.
 	links    *link.Monitor[attemptReport]
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -10,7 +10,7 @@
 
 // Limits of a Tally.
 const (
-	// tallyLimit is how many targets a request crashes before it is refused. With
+	// tallyLimit is how many runs of targets a request crashes before it is refused. With
 	// fewer, requests that met targets with gray failures would be refused too.
 	tallyLimit = 3
 	// TallyTerm is how long strikes count and how long a request is refused, unless
@@ -21,9 +21,14 @@
 	maxSuspects = 16384
 	// maxQuarantined bounds the number of requests that are refused.
 	maxQuarantined = 4096
+	// minCrashedTargets is how many different targets are among those that a request must
+	// crash, so that one target that goes on crashing by itself quarantines nothing.
+	minCrashedTargets = 2
+	// maxStrikes bounds the strikes that are kept of one request.
+	maxStrikes = 16
 )
 
-// Tally counts the targets that each request crashed, as far as one instance knows. It
+// Tally counts the runs of targets that each request crashed, as far as one instance knows. It
 // works without an authority: instances tell each other of strikes, and store the
 // quarantined requests where instances that start later find them. It is not safe for
 // concurrent use.
@@ -36,6 +41,8 @@
 // TallyStrike is the end of a target's connection while a request ran there.
 type TallyStrike struct {
 	Target string
+	// Incarnation identifies the run of the target. If it is zero, any run is meant.
+	Incarnation int64
 	// Kept is set if the connection had served an earlier request, so that the target may
 	// only have dropped it.
 	Kept bool
@@ -71,17 +78,26 @@
 	}
 }
 
-// AddStrike records a strike of the request. Each target counts once. It reports whether
-// the request is quarantined now and wasn't before.
+// sameRun reports whether two strikes are of the same run of a target, as far as known.
+func (s TallyStrike) sameRun(other TallyStrike) bool {
+	return s.Target == other.Target &&
+		(s.Incarnation == other.Incarnation || s.Incarnation == 0 || other.Incarnation == 0)
+}
+
+// AddStrike records a strike of the request. Each run of a target counts once. It reports
+// whether the request is quarantined now and wasn't before.
 func (t *Tally) AddStrike(now time.Duration, f Fingerprint, s TallyStrike) bool {
 	list, _ := t.suspects.Get(f)
 	list = slices.DeleteFunc(list, func(old timedStrike) bool {
-		if old.Target == s.Target {
+		same := old.sameRun(s)
+		if same {
 			s.Kept = s.Kept && old.Kept
 			s.Own = s.Own || old.Own
+			s.Incarnation = max(s.Incarnation, old.Incarnation)
 		}
-		return old.Target == s.Target || now-old.at > TallyTerm
+		return same || now-old.at > TallyTerm
 	})
+	list = list[max(0, len(list)-maxStrikes+1):]
 	list = append(list, timedStrike{
 		TallyStrike: s,
 		at:          now,
@@ -104,12 +120,14 @@
 // because targets that drop idle connections drop many of them.
 func overLimit(list []timedStrike) bool {
 	crashed := 0
+	names := map[string]struct{}{}
 	for _, s := range list {
+		names[s.Target] = struct{}{}
 		if !s.Kept {
 			crashed++
 		}
 	}
-	return crashed > 0 && len(list) >= tallyLimit
+	return crashed > 0 && len(list) >= tallyLimit && len(names) >= minCrashedTargets
 }
 
 // quarantine records that a request must not run. It reports false if there are too many.
--- a/pkg/quarantine/tally_test.go
+++ b/pkg/quarantine/tally_test.go
@@ -121,3 +121,50 @@
 	is.True(!strike(tally, "desk-2"))
 	is.True(strike(tally, "desk-3"))
 }
+
+// Guards against a request that goes on crashing the same two targets, which start again
+// under their names, and against requests that are refused because one target goes on
+// crashing by itself.
+func TestEachRunOfATargetCounts(t *testing.T) {
+	type run struct {
+		target      string
+		incarnation int64
+	}
+	tests := []struct {
+		name        string
+		runs        []run
+		quarantined bool
+	}{
+		{
+			name:        "two targets, one of them twice",
+			runs:        []run{{"desk-1", 10}, {"desk-2", 20}, {"desk-1", 30}},
+			quarantined: true,
+		},
+		{
+			name: "two targets, one run reported twice",
+			runs: []run{{"desk-1", 10}, {"desk-2", 20}, {"desk-1", 10}},
+		},
+		{
+			name: "a report without the run",
+			runs: []run{{"desk-1", 10}, {"desk-2", 20}, {"desk-1", 0}},
+		},
+		{
+			name: "one target only",
+			runs: []run{{"desk-1", 10}, {"desk-1", 20}, {"desk-1", 30}, {"desk-1", 40}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tally := quarantine.NewTally()
+			quarantined := false
+			for _, r := range tt.runs {
+				quarantined = tally.AddStrike(now, f, quarantine.TallyStrike{
+					Target:      r.target,
+					Incarnation: r.incarnation,
+				}) || quarantined
+			}
+			is.Equal(quarantined, tt.quarantined)
+		})
+	}
+}
--- a/pkg/target/registration.go
+++ b/pkg/target/registration.go
@@ -12,7 +12,7 @@
 	Target  document.Target
 	// WarmupRemaining is how much longer the target is slow after its start.
 	WarmupRemaining time.Duration
-	// Incarnation is greater for each later run under the same name.
+	// Incarnation is greater for each later run under the same name or at the same address.
 	Incarnation int64
 	// Sequence increases with each registration of one run.
 	Sequence int64
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -96,6 +96,21 @@
 // Incarnation returns the incarnation of a target, and zero if there is no such target.
 func (r *Registry) Incarnation(name string) int64 { return r.targets[name].Incarnation }
 
+// Ended reports whether a run of a target has ended: its registration is gone, or a later run
+// has registered under its name or at its address.
+func (r *Registry) Ended(name string, incarnation int64) bool {
+	reg, ok := r.targets[name]
+	if !ok || reg.Incarnation > incarnation {
+		return true
+	}
+	for _, other := range r.targets {
+		if other.Target.Address == reg.Target.Address && other.Incarnation > incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove removes a target whose registration is gone. If that happened around an
 // outage of the store, the registration may merely have expired; the target is then
 // kept for reregistrationTimeout, unless it was leaving.
--- a/pkg/target/registry_test.go
+++ b/pkg/target/registry_test.go
@@ -177,3 +177,74 @@
 		})
 	}
 }
+
+// Guards against strikes that count for a target that only an outage of the store hides, or
+// that never count because another target has taken the place of the crashed one.
+func TestEndOfRunIsKnownByRegistrations(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(r *target.Registry)
+		ended  bool
+	}{
+		{
+			name:   "nothing changes",
+			change: func(*target.Registry) {},
+		},
+		{
+			name:   "the registration ends",
+			change: func(r *target.Registry) { r.Remove(time.Minute, "desk-1", false) },
+			ended:  true,
+		},
+		{
+			name:   "the registration expires around an outage",
+			change: func(r *target.Registry) { r.Remove(time.Minute, "desk-1", true) },
+		},
+		{
+			name: "a later run registers",
+			change: func(r *target.Registry) {
+				r.Put(runOf("desk-1", "10.0.0.1:80", 8))
+			},
+			ended: true,
+		},
+		{
+			name: "another target registers at the address",
+			change: func(r *target.Registry) {
+				r.Put(runOf("desk-2", "10.0.0.1:80", 8))
+			},
+			ended: true,
+		},
+		{
+			name: "an earlier run of another target is at the address",
+			change: func(r *target.Registry) {
+				r.Put(runOf("desk-2", "10.0.0.1:80", 6))
+			},
+		},
+		{
+			name: "another target registers elsewhere",
+			change: func(r *target.Registry) {
+				r.Put(runOf("desk-2", "10.0.0.2:80", 8))
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := target.NewRegistry()
+			r.Put(runOf("desk-1", "10.0.0.1:80", 7))
+			tt.change(r)
+			is.Equal(r.Ended("desk-1", 7), tt.ended)
+		})
+	}
+}
+
+// runOf returns the registration of a run of a target.
+func runOf(name, address string, incarnation int64) target.Registration {
+	return target.Registration{
+		Service: "desk",
+		Target: document.Target{
+			Name:    name,
+			Address: address,
+		},
+		Incarnation: incarnation,
+	}
+}
