--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -258,3 +259,61 @@
 		}
 	})
 }
+
+// Guards against an innocent read that all callers send and that is refused to the whole
+// fleet because instances lose their links while it runs there.
+func TestReadInProgressWhileLinksAreLostIsNotRefused(t *testing.T) {
+	for _, shape := range linkShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
+			const (
+				cuts    = 5
+				cutTime = 600 * time.Millisecond
+			)
+			is := is.New(t)
+			f := newTestFleet(t, 2, 0)
+			f.startTargets("mill", 4)
+			f.startCrashTargets(6, time.Second, false)
+			for _, zone := range crashTestZones[len(f.instances):] {
+				f.startInstance(zone)
+			}
+			f.awaitMembers()
+			ended := make(chan struct{})
+			group := sync.WaitGroup{}
+			for _, g := range f.instances {
+				for range 3 {
+					group.Go(func() {
+						for {
+							select {
+							case <-ended:
+								return
+							default:
+								f.call(g, "/one/read", "key-1")
+							}
+						}
+					})
+				}
+			}
+			for i := range cuts {
+				cut := []*testLinks{f.links[i%len(f.links)], f.links[(i+3)%len(f.links)]}
+				for _, l := range cut {
+					l.set(shape.state)
+				}
+				time.Sleep(cutTime)
+				for _, l := range cut {
+					l.set(linksUp)
+				}
+				time.Sleep(cutTime)
+			}
+			close(ended)
+			group.Wait()
+			if strings.Contains(f.log.String(), "request quarantined") {
+				f.logLines("strike", "quarantine", "excused", "links", "impaired", "cleared")
+			}
+			is.True(!strings.Contains(f.log.String(), "request quarantined"))
+			for _, g := range f.instances {
+				is.Equal(f.call(g, "/one/read", "key-1"), http.StatusOK)
+			}
+		})
+	}
+}
