Let no server error clear a request that crashes targets

Cause: a write's answer with a server error counted as usable, and one usable answer deletes all strikes. A target with gray failures may give it before it begins to run the request. The same answer to a read cleared nothing, but did at an instance that had relayed the read.

Evidence: TestServerErrorsClearNoRequest/write_with_server_errors failed.

Why this works: only an answer below 500 shows that a target has run the request and gone on.

--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -200,8 +200,8 @@
 	// may have been running the request; empty if none did.
 	CrashedTarget string
 	// Answered is set if a target gave a usable answer and none crashed. A server
-	// error on a repeatable request doesn't count, even if it is relayed to the
-	// caller because no further attempt was possible.
+	// error doesn't count, even if it is relayed to the caller: the target may have
+	// failed before it ran the request.
 	Answered bool
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -342,6 +342,48 @@
 	}
 }
 
+// Guards against a request whose crashes are forgotten because a target with gray failures
+// answers it with a server error.
+func TestServerErrorsClearNoRequest(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		gray    float64
+		cleared int
+	}{
+		{
+			name:   "write with server errors",
+			method: http.MethodPost,
+			gray:   1,
+		},
+		{
+			name:   "read with server errors",
+			method: http.MethodGet,
+			gray:   1,
+		},
+		{
+			name:    "write",
+			method:  http.MethodPost,
+			cleared: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(t, 2)
+			for _, s := range env.targets {
+				s.SetFaults(standin.TargetFaults{
+					GrayFraction: tt.gray,
+				})
+			}
+			env.call(tt.method, "/bookings", "x")
+			env.quarantine.mu.Lock()
+			defer env.quarantine.mu.Unlock()
+			is.Equal(env.quarantine.answered, tt.cleared)
+		})
+	}
+}
+
 func TestCrashingRequestCrashesAtMostTwoTargets(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t, 5)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -68,8 +68,8 @@
 	grantSpent bool
 	// mayHaveRun is set unless it is certain that no target ran the request.
 	mayHaveRun bool
-	// answered is set once an attempt gave a usable answer. It stays unset if a
-	// fallback is relayed.
+	// answered is set once an attempt gave a usable answer that is no server error. It
+	// stays unset if a fallback is relayed.
 	answered bool
 	// headSent is set once the answer's header was written to the caller.
 	headSent bool
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,7 +82,8 @@
 			switch outcome := e.outcome.(type) {
 			case usableAnswer:
 				x.sentAttempts += len(r.running)
-				x.mayHaveRun, x.answered = true, true
+				x.mayHaveRun = true
+				x.answered = outcome.answer.response.StatusCode < http.StatusInternalServerError
 				x.leavingTarget = outcome.leavingTarget
 				return outcome.answer, nil
 			case failedAttempt:
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -478,6 +478,8 @@
 type fakeQuarantine struct {
 	mu      sync.Mutex
 	crashes map[string]int
+	// answered counts the runs that clear their requests.
+	answered int
 }
 
 func (f *fakeQuarantine) Acquire(_ context.Context, i entry.RequestIdentity) (entry.Permit, error) {
@@ -515,6 +517,9 @@
 	if r.CrashedTarget != "" {
 		p.quarantine.crashes[p.id]++
 	}
+	if r.Answered {
+		p.quarantine.answered++
+	}
 }
 
 // waitUntil waits until the condition holds.
