Give up requests that hold back later answers before a stop ends

Cause: answers leave in the order of the requests. An earlier request's target didn't answer until the end of the stop, and all on the connection was cut.

Why this works: 0.25 s before the stop ends, requests that hold back a ready answer are cancelled. Their callers get 504, and the answers behind follow. A request that holds back nothing goes on until the end. pkg/pipeline says which requests these are.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -267,6 +268,8 @@
 	Path     string
 	// Rate is the organisation's rate per second and its burst, or zero for no limit.
 	Rate float64
+	// Timeout is that of the routes; routeTimeout if it is zero.
+	Timeout time.Duration
 }
 
 const (
@@ -382,7 +385,7 @@
 			Name:       name,
 			PathPrefix: path,
 			Service:    service,
-			Timeout:    routeTimeout,
+			Timeout:    cmp.Or(c.Timeout, routeTimeout),
 			Key: document.KeyLocation{
 				Place: document.InBearer,
 			},
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,9 @@
 	// exitReserve is the part of Settings.StopTimeout that is left for the exit of the
 	// process.
 	exitReserve = 300 * time.Millisecond
+	// answerReserve is the time before that in which answers leave that were held back by
+	// earlier requests of their connections.
+	answerReserve = 250 * time.Millisecond
 	// relayedPollPeriod is the time between two looks at the requests of other instances
 	// during a stop.
 	relayedPollPeriod = 10 * time.Millisecond
@@ -78,6 +81,8 @@
 	g.deregister()
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-exitReserve)
 	defer cancel()
+	hurry := time.AfterFunc(g.settings.StopTimeout-exitReserve-answerReserve, g.contained(g.callers.GiveUpBlocking))
+	defer hurry.Stop()
 	sleep(ctx, balancerLag)
 	err := g.shutdown(ctx)
 	g.logger.Info("stopped",
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -58,8 +59,10 @@
 	openBody *body
 	// idleUntil is when a connection without requests ends.
 	idleUntil time.Time
-	// leaving is set when the connection ends with its next answers.
-	leaving bool
+	// leaving is set when the connection ends with its next answers, and hurrying when
+	// requests that hold back later answers are given up.
+	leaving  bool
+	hurrying bool
 	// isBroken is set when broken is closed.
 	isBroken bool
 	// lingers is set if the caller may not have received all answers when the connection
@@ -218,7 +221,7 @@
 
 // enqueue adds a request. The caller holds mu.
 func (c *conn) enqueue(x *exchange, kind pipeline.Kind) {
-	c.queue.Receive(kind)
+	x.id = c.queue.Receive(kind)
 	c.exchanges = append(c.exchanges, x)
 	if len(c.exchanges) == 1 {
 		close(x.turn)
@@ -397,6 +400,35 @@
 	}
 }
 
+// setReady records that the answer to a request waits for its turn.
+func (c *conn) setReady(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.SetReady(x.id)
+	if c.hurrying {
+		c.cancelBlocking()
+	}
+}
+
+// hurry gives up requests that hold back later answers, from now on.
+func (c *conn) hurry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hurrying = true
+	c.cancelBlocking()
+}
+
+// cancelBlocking cancels the requests that hold back later answers. Their handlers still
+// answer them. The caller holds mu.
+func (c *conn) cancelBlocking() {
+	blocking := c.queue.Blocking()
+	for _, x := range c.exchanges {
+		if slices.Contains(blocking, x.id) {
+			x.cancel()
+		}
+	}
+}
+
 // endIdle ends the connection after a grace if it has no requests.
 func (c *conn) endIdle(grace time.Duration) {
 	c.mu.Lock()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"dandelionmux/pkg/pipeline"
 )
 
 // Arrival tells how a request reached the server.
@@ -39,7 +41,9 @@
 
 // exchange is one request and its answer.
 type exchange struct {
-	conn    *conn
+	conn *conn
+	// id is the request's number in the connection's queue.
+	id      pipeline.ID
 	request *http.Request
 	arrival *Arrival
 	cancel  context.CancelFunc
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -499,6 +499,34 @@
 	is.True(err != nil)
 }
 
+// Guards against an answer of a target that a stop loses because it waits for an earlier one
+// that doesn't come.
+func TestStopDeliversAnswersBehindOneThatIsNotReady(t *testing.T) {
+	for _, readyFirst := range []bool{true, false} {
+		t.Run(fmt.Sprintf("ready before %v", readyFirst), func(t *testing.T) {
+			is := is.New(t)
+			e := newEcho("/1", "/2", "/3", "/4")
+			s := serve(t, e)
+			c := s.dial()
+			c.send(get("/1") + get("/2") + get("/3") + get("/4"))
+			eventually(t, "four have started", func() bool { return len(e.started()) == 4 })
+			s.Leave()
+			if readyFirst {
+				e.open("/3")
+				time.Sleep(20 * time.Millisecond)
+			}
+			s.GiveUpBlocking()
+			if !readyFirst {
+				e.open("/3")
+			}
+			for _, path := range []string{"/1", "/2", "/3"} {
+				is.Equal(c.receive().body, "GET "+path+" ")
+			}
+			is.Equal(len(e.cancelled), 2) // nothing waits for the last one
+		})
+	}
+}
+
 // Guards against an answer that the caller loses because its connection is reset: a
 // connection that is closed with unread bytes is.
 func TestLastAnswerIsNotLostByAReset(t *testing.T) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -63,6 +63,7 @@
 	accepted chan struct{} // closed when Serve accepts no more
 	conns    map[*conn]struct{}
 	leaving  bool
+	hurrying bool
 	stopping bool
 	ended    chan struct{} // receives when a connection has ended while the server stops
 }
@@ -163,11 +164,14 @@
 	c := newConn(s, raw)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	leaving, stopping := s.leaving, s.stopping
+	leaving, hurrying, stopping := s.leaving, s.hurrying, s.stopping
 	s.mu.Unlock()
 	if leaving {
 		c.leave()
 	}
+	if hurrying {
+		c.hurry()
+	}
 	if stopping {
 		c.endIdle(leaveGrace)
 	}
@@ -207,6 +211,18 @@
 	}
 }
 
+// GiveUpBlocking cancels, from now on, requests in progress that hold back answers to later
+// ones of their connections. A handler then answers at once, and those answers follow. It is
+// called shortly before Close, which would lose them.
+func (s *Server) GiveUpBlocking() {
+	s.mu.Lock()
+	s.hurrying = true
+	s.mu.Unlock()
+	for _, c := range s.list() {
+		c.hurry()
+	}
+}
+
 // Shutdown accepts no more connections, ends the open ones like Leave, closes idle ones
 // and returns when all have ended. If ctx ends first, it returns its error.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -118,6 +118,7 @@
 
 // awaitTurn waits until all earlier answers have been written.
 func (w *responseWriter) awaitTurn() error {
+	w.exchange.conn.setReady(w.exchange)
 	select {
 	case <-w.exchange.turn:
 	case <-w.exchange.conn.broken:
--- a/pkg/pipeline/queue.go
+++ b/pkg/pipeline/queue.go
@@ -30,6 +30,8 @@
 	started bool
 	// placed is set while the request holds one of places.
 	placed bool
+	// ready is set once the request's answer may be written in its turn.
+	ready bool
 }
 
 // New returns the queue of a new connection, which has up to limit requests in progress.
@@ -88,6 +90,29 @@
 	return q.requests[0].id
 }
 
+// SetReady records that the answer to a request in progress is ready.
+func (q *Queue) SetReady(id ID) {
+	for i := range q.requests {
+		if q.requests[i].id == id {
+			q.requests[i].ready = true
+		}
+	}
+}
+
+// Blocking returns the requests whose answers aren't ready although one behind them is.
+func (q *Queue) Blocking() []ID {
+	var blocking, unready []ID
+	for _, r := range q.requests {
+		if r.ready {
+			blocking = append(blocking, unready...)
+			unready = nil
+		} else {
+			unready = append(unready, r.id)
+		}
+	}
+	return blocking
+}
+
 // End removes the head, whose answer has been written.
 func (q *Queue) End() {
 	q.requests = q.requests[1:]
--- a/pkg/pipeline/queue_test.go
+++ b/pkg/pipeline/queue_test.go
@@ -191,3 +191,45 @@
 		}
 	})
 }
+
+// Guards against a ready answer that is lost because an earlier request isn't given up, and
+// against giving up one that holds back nothing.
+func TestBlockingRequestsAreThoseBeforeAReadyAnswer(t *testing.T) {
+	tests := []struct {
+		name     string
+		ready    []pipeline.ID
+		blocking []pipeline.ID
+	}{
+		{
+			name: "nothing is ready",
+		},
+		{
+			name:  "the head is ready",
+			ready: []pipeline.ID{1},
+		},
+		{
+			name:     "one behind the head is ready",
+			ready:    []pipeline.ID{2},
+			blocking: []pipeline.ID{1},
+		},
+		{
+			name:     "two are ready",
+			ready:    []pipeline.ID{2, 4},
+			blocking: []pipeline.ID{1, 3},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := pipeline.New(pipeline.NewPlaces(8), 8)
+			for range 5 {
+				q.Receive(pipeline.Independent)
+				q.Start()
+			}
+			for _, id := range tt.ready {
+				q.SetReady(id)
+			}
+			is.Equal(q.Blocking(), tt.blocking)
+		})
+	}
+}
