--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -164,9 +164,6 @@
 	}
 }
 
-// crashes reports whether an attempt that ended so may have crashed its target.
-func crashes(o target.Outcome) bool { return o == target.Crashed || o == target.Disconnected }
-
 // handleSuspect records the strike or the success of a request that another instance has
 // reported. If several instances report their strikes at the same time, none has seen the
 // last one itself, so each of them saves the request's quarantine.
