--- a/cmd/dandelionmux/platform.go
+++ b/cmd/dandelionmux/platform.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionmux/internal/daemon"
 	"dandelionmux/internal/entry"
 	"dandelionmux/internal/gateway"
 	"dandelionmux/internal/linelog"
@@ -74,6 +75,7 @@
 
 func (p platformSettings) read() (gateway.Settings, error) {
 	s, err := platform.ReadSettings(p.path)
+	s.Build = daemon.Version()
 	if err != nil || p.metricsPort == 0 {
 		return s, err
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -101,9 +101,15 @@
 	return list
 }
 
-// Version returns the main module's version as recorded by the build, or
-// "unknown".
+// commit is the commit that was built. The build line of deploy/system.toml sets it.
+var commit string
+
+// Version returns the commit that was built, or the module's version if the build doesn't name
+// it.
 func Version() string {
+	if commit != "" {
+		return commit
+	}
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -33,10 +33,11 @@
 
 func TestMemberIsStoredUnderFixedNames(t *testing.T) {
 	is := is.New(t)
-	const stored = `{"Zone":"a","Incarnation":3}`
+	const stored = `{"Zone":"a","Incarnation":3,"Build":"149e753"}`
 	want := memberValue{
 		Zone:        "a",
 		Incarnation: 3,
+		Build:       "149e753",
 	}
 	content, err := json.Marshal(want)
 	is.NoErr(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,6 +233,7 @@
 	g.goLoop(ctx, g.saveQuarantines)
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
+		slog.String("Build", g.settings.Build),
 		slog.String("Zone", g.settings.Zone),
 		slog.String("Entry", g.EntryAddress()),
 		slog.String("Peer", string(g.self.Address)))
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -70,6 +70,7 @@
 		Zone:        g.self.Zone,
 		Incarnation: g.self.Incarnation,
 		Capacity:    g.settings.Capacity,
+		Build:       g.settings.Build,
 	})
 	if err != nil {
 		return registration{}, errors.Wrap(err, "encode member")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,6 +46,9 @@
 	members, targets := 0, 0
 	g.state.withLock(func() { members, targets = g.state.roster.Len(), g.state.targets.Len() })
 	_, _ = fmt.Fprintf(w, "Fleet.Members %d\nFleet.Targets %d\n", members, targets)
+	for build, number := range g.state.buildCounts() {
+		_, _ = fmt.Fprintf(w, "Fleet.Build.%s %d\n", build, number)
+	}
 	for _, s := range g.state.targetCounts(boot.Now()) {
 		_, _ = fmt.Fprintf(w, "Targets.%[1]s.Healthy %[2]d\nTargets.%[1]s.OnProbation %[3]d\n"+
 			"Targets.%[1]s.Unavailable %[4]d\nTargets.%[1]s.Held %[5]d\nTargets.%[1]s.Resting %[6]d\nTargets.%[1]s.Leaving %[7]d\n",
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,7 +17,9 @@
 type Settings struct {
 	// Name is the instance's name in logs.
 	Name string
-	Zone string
+	// Build names the build that runs, for logs and counters; empty if that isn't known.
+	Build string
+	Zone  string
 	// Zones is the number of zones in the deployment.
 	Zones int
 	// EntryAddress serves callers, ReadyAddress the balancer's readiness checks,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -115,16 +116,22 @@
 type member struct {
 	instance.Info
 	capacity float64
+	// build is the build that the member runs; empty if it doesn't tell.
+	build string
 	// expiresAt is when a member that was removed around a store outage is dropped. It
 	// is zero for a member that is registered.
 	expiresAt time.Duration
 }
 
+// unknownBuild stands for the build of an instance that doesn't tell it.
+const unknownBuild = "unknown"
+
 // memberValue is the JSON value of a member's key.
 type memberValue struct {
 	Zone        string
 	Incarnation uint64
 	Capacity    float64 `json:",omitempty"`
+	Build       string  `json:",omitempty"`
 }
 
 // decodeMember returns the member that is registered under a key.
@@ -142,9 +149,25 @@
 			Zone: v.Zone,
 		},
 		capacity: v.Capacity,
+		build:    v.Build,
 	}, nil
 }
 
+// buildCounts returns how many instances run each build, this one included.
+func (st *localState) buildCounts() map[string]int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	counts := map[string]int{
+		cmp.Or(st.gateway.settings.Build, unknownBuild): 1,
+	}
+	for address, m := range st.members {
+		if address != st.gateway.self.Address {
+			counts[cmp.Or(m.build, unknownBuild)]++
+		}
+	}
+	return counts
+}
+
 func newLocalState(g *Gateway) *localState {
 	now := boot.Now()
 	return &localState{
