Ask other zones for a retry that the own zone's budget refuses

Cause: each zone grants its own part of a service's budget only.

Why this works: the asking instance goes on to the keepers of up to two other zones, which count what they grant as their own; so the sum over the fleet stays bounded as before, and earlier builds need not know.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -174,7 +174,7 @@
 }
 
 // Retry implements entry.Dispatcher. A retry of an attempt that did not reach its
-// target is always granted.
+// target is always granted. If the zone's budget is used up, other zones are asked.
 func (d dispatcher) Retry(ctx context.Context, name string, failed retry.Attempt) bool {
 	if failed.Outcome == target.Refused {
 		return true
@@ -190,6 +190,8 @@
 		}
 	})
 	granted := g.requestDecision(ctx, request).Granted
+	borrowed := !granted && g.borrowRetry(ctx, name)
+	granted = granted || borrowed
 	g.logger.Info("retry asked for",
 		slog.String("Request", entry.RequestID(ctx)),
 		slog.String("Service", name),
@@ -197,13 +199,52 @@
 		slog.Int("Attempt", failed.Number),
 		slog.Int("Begun", request.Amount),
 		slog.Duration("Over", request.Over),
-		slog.Bool("Granted", granted))
-	if !granted {
+		slog.Bool("Granted", granted),
+		slog.Bool("Borrowed", borrowed))
+	switch {
+	case !granted:
 		g.count("Retry.Unpaid")
+	case borrowed:
+		g.count("Retry.Borrowed")
 	}
 	return granted
 }
 
+// borrowRetry asks the keepers of a service's retry budget in other zones for a retry.
+func (g *Gateway) borrowRetry(ctx context.Context, name string) bool {
+	st := g.state
+	for range meter.MaxLenders {
+		var keeper string
+		ok := false
+		st.withLock(func() {
+			var keepers []string
+			for _, a := range st.roster.RemoteKeepers(retryBudget.String(), name, st.unresponsive) {
+				if !st.unresponsive(a) {
+					keepers = append(keepers, string(a))
+				}
+			}
+			keeper, ok = st.lenders.Choose(boot.Now(), name, keepers)
+		})
+		if !ok {
+			return false
+		}
+		response, answered := g.askKeeper(ctx, instance.Address(keeper), decisionRequest{
+			Kind: retryBudget,
+			Name: name,
+		})
+		switch {
+		case response.Granted:
+			return true
+		case ctx.Err() != nil:
+			return false
+		case !answered:
+			st.markUnresponsive(instance.Address(keeper), retryBudget.String()+" "+name)
+		}
+		st.withLock(func() { st.lenders.Refused(boot.Now(), name, keeper) })
+	}
+	return false
+}
+
 // slot implements entry.Slot.
 type slot struct {
 	gateway         *Gateway
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -66,6 +66,7 @@
 	// localRates decides about rates while no keeper can be reached.
 	localRates *meter.LocalRates
 	budgets    *meter.Budget
+	lenders    *meter.Lenders
 	// targetLimits holds the limits that targets have named.
 	targetLimits *meter.TargetLimits
 	strikes      *quarantine.Tally
@@ -179,6 +180,7 @@
 		services:   map[string]*service{},
 		rates:      meter.NewRates(g.settings.Zone, g.settings.RateTolerance),
 		localRates: meter.NewLocalRates(),
+		lenders:    meter.NewLenders(),
 		budgets: meter.NewBudget(now, meter.BudgetSettings{
 			Ratio: g.settings.RetryRatio,
 			Base:  g.settings.BaseRetries,
@@ -483,6 +485,7 @@
 			st.budgets.Forget(string(a))
 		}
 	}
+	st.lenders.Expire(now)
 	st.helpers.Expire(now)
 	maps.DeleteFunc(st.formerUntil, func(_ string, until time.Duration) bool { return now >= until })
 	maps.DeleteFunc(st.unresponsiveUntil, func(_ instance.Address, until time.Duration) bool { return now >= until })
