Begin the second attempt at a read early enough to be in time

Why this works: another attempt begins when there is just the expected latency left to the route's objective, not before 1.5 times that latency. For 10 s after a refused retry it begins as before, so that it takes nothing from requests that have failed.

Test of the load: TestReadAtATargetThatHangsIsStillInTime.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -35,6 +35,8 @@
 	noTargetRetryAfter = time.Second
 	// reportTimeError is by how much the times of two reports may be wrong to each other.
 	reportTimeError = 10 * time.Millisecond
+	// scarceTerm is how long after a refused retry reads wait longer for their answers.
+	scarceTerm = 10 * time.Second
 	// minRestSpread is the least time over which callers come back after all targets of a
 	// service have rested.
 	minRestSpread = 500 * time.Millisecond
@@ -53,6 +55,13 @@
 	// request about a retry. countingSince is when that count was last sent or restarted.
 	newRequests   int
 	countingSince time.Duration
+	// retryRefusedAt is when a retry was last refused.
+	retryRefusedAt time.Duration
+}
+
+// retriesAreScarce reports whether a retry has been refused lately.
+func (s *service) retriesAreScarce(now time.Duration) bool {
+	return s.retryRefusedAt > 0 && now < s.retryRefusedAt+scarceTerm
 }
 
 // dispatcher implements entry.Dispatcher.
@@ -116,7 +125,7 @@
 		first:           !request.Counted,
 		responseTimeout: s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective),
 		expected:        s.latencies.Expected(request.Route.Name, request.Route.Objective),
-		overdueAfter:    s.latencies.OverdueAfter(request.Route.Name, request.Route.Objective),
+		overdueAfter:    s.latencies.OverdueAfter(request.Route.Name, request.Route.Objective, s.retriesAreScarce(now)),
 		targetCounts:    s.table.Counts(now),
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
@@ -204,6 +213,11 @@
 	switch {
 	case !granted:
 		g.count("Retry.Unpaid")
+		g.state.withLock(func() {
+			if s := g.state.services[name]; s != nil {
+				s.retryRefusedAt = boot.Now()
+			}
+		})
 	case borrowed:
 		g.count("Retry.Borrowed")
 	}
--- a/pkg/outlier/latencies.go
+++ b/pkg/outlier/latencies.go
@@ -16,6 +16,8 @@
 	// overdueFactor times the expected latency of a route is how long a request waits
 	// before another attempt is made beside it.
 	overdueFactor = 2
+	// minOverduePercent of the expected latency is the least time that a request waits.
+	minOverduePercent = 150
 	// minTimeout is the shortest response timeout.
 	minTimeout = time.Second
 	// minSamples is the number of answers needed before the mean latency is used.
@@ -80,9 +82,16 @@
 }
 
 // OverdueAfter returns how long a request on the route waits for its answer before another
-// attempt is made beside it. About one in ten waits longer at a sound target.
-func (l *Latencies) OverdueAfter(route string, objective time.Duration) time.Duration {
-	return overdueFactor * l.Expected(route, objective)
+// attempt is made beside it. About one in ten waits longer at a sound target. If the route has a
+// latency objective, that attempt begins early enough to be answered within it, unless retries
+// are scarce.
+func (l *Latencies) OverdueAfter(route string, objective time.Duration, scarce bool) time.Duration {
+	expected := l.Expected(route, objective)
+	overdue := overdueFactor * expected
+	if objective > 0 && !scarce {
+		overdue = min(overdue, max(objective-expected, expected*minOverduePercent/100))
+	}
+	return overdue
 }
 
 // EffectiveOutcome returns the outcome to record for a target. A request that timed
--- a/pkg/outlier/latencies_test.go
+++ b/pkg/outlier/latencies_test.go
@@ -88,3 +88,57 @@
 		})
 	}
 }
+
+// Load: some reads meet a target that has stopped answering. Guards against a second attempt
+// that begins too late to be answered within the route's latency objective, and against
+// needless ones that use up the retry budget while retries are scarce.
+func TestReadAtATargetThatHangsIsStillInTime(t *testing.T) {
+	tests := []struct {
+		name      string
+		latency   time.Duration
+		objective time.Duration
+		scarce    bool
+		overdue   time.Duration
+	}{
+		{
+			name:      "time for another attempt",
+			latency:   800 * time.Millisecond,
+			objective: 2 * time.Second,
+			overdue:   1200 * time.Millisecond,
+		},
+		{
+			name:      "retries are scarce",
+			latency:   800 * time.Millisecond,
+			objective: 2 * time.Second,
+			scarce:    true,
+			overdue:   1600 * time.Millisecond,
+		},
+		{
+			name:      "much time",
+			latency:   800 * time.Millisecond,
+			objective: 10 * time.Second,
+			overdue:   1600 * time.Millisecond,
+		},
+		{
+			name:      "no time for another attempt",
+			latency:   800 * time.Millisecond,
+			objective: time.Second,
+			overdue:   1200 * time.Millisecond,
+		},
+		{
+			name:    "no objective",
+			latency: 800 * time.Millisecond,
+			overdue: 1600 * time.Millisecond,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := outlier.NewLatencies()
+			for range 10 {
+				l.Add("read", tt.latency)
+			}
+			is.Equal(l.OverdueAfter("read", tt.objective, tt.scarce), tt.overdue)
+		})
+	}
+}
