Send all content to a few starting instances at a time

Why this works: an instance sends all content to three at a time. The others are told that it is busy and ask any instance of the zone, each in an order of its own; those that have the content pass it on, so their number grows fourfold in each round. An answer has 1.2 s to begin and 4 s to end. Only a follower that asks with Spread=1 is deferred, so earlier builds are answered as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,6 +192,9 @@
 // MetricsAddress returns the address at which counters are served.
 func (g *Gateway) MetricsAddress() string { return g.address(metricsListener) }
 
+// PeerAddress returns the address that serves other instances.
+func (g *Gateway) PeerAddress() string { return string(g.self.Address) }
+
 func (g *Gateway) closeListeners() {
 	if g.datagrams != nil {
 		_ = g.datagrams.Close()
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -28,9 +29,12 @@
 	minCompressedBytes = 4 << 10
 	// maxLaterEntries is the number of changes after which all entries are encoded anew.
 	maxLaterEntries = 500
-	// copyTimeout bounds the wait for a reader's answer, which may be held for two thirds of
-	// it. Instances have only a part of a CPU core and may stall for a while.
+	// copyTimeout bounds the wait for a reader's answer to begin, which may be held for two
+	// thirds of it. Instances have only a part of a CPU core and may stall for a while.
 	copyTimeout = 1200 * time.Millisecond
+	// firstCopyTimeout bounds the whole answer to an instance that has nothing yet: all
+	// content takes a while over a slow link.
+	firstCopyTimeout = 4 * time.Second
 	// peerDialTimeout bounds connecting to an instance of the same zone.
 	peerDialTimeout = 300 * time.Millisecond
 	// maxCopyBytes bounds an answer. It has room for a configuration of 1 MB and
@@ -94,6 +98,9 @@
 	confirmation uint64
 }
 
+// errBusy says that an instance sends its content to others already.
+var errBusy = errors.New("busy sending content")
+
 // errOutdated says that an instance has no recently confirmed content.
 var errOutdated = errors.New("no recently confirmed content")
 
@@ -146,13 +153,21 @@
 	}
 	known := parseConfirmation(r.URL.Query())
 	arrivedAt := boot.Now()
+	// Only a follower that says so asks another instance if this one is busy.
+	limited := after.Counter == 0 && r.URL.Query().Get("Spread") == "1"
 	for {
-		c, reply, changed := g.lookAtMirror(after, known, arrivedAt)
+		c, reply, changed := g.lookAtMirror(after, known, arrivedAt, limited)
 		var timer *time.Timer
 		switch reply := reply.(type) {
 		case source.Give:
+			if limited {
+				defer g.state.withLock(func() { g.state.fullCopies-- })
+			}
 			g.answerMirror(w, r, after, c)
 			return
+		case source.Defer:
+			http.Error(w, errBusy.Error(), http.StatusTooManyRequests)
+			return
 		case source.Decline:
 			http.Error(w, errOutdated.Error(), http.StatusServiceUnavailable)
 			return
@@ -171,8 +186,9 @@
 }
 
 // lookAtMirror returns what a follower may be answered without the entries, what to do with
-// its request, and a channel that is closed when something has changed.
-func (g *Gateway) lookAtMirror(after mirror.Position, known uint64, arrivedAt time.Duration) (mirrorCopy, source.Reply, chan struct{}) {
+// its request, and a channel that is closed when something has changed. If limited is set and
+// the answer is Give, it is counted as a copy of all content that is being sent.
+func (g *Gateway) lookAtMirror(after mirror.Position, known uint64, arrivedAt time.Duration, limited bool) (mirrorCopy, source.Reply, chan struct{}) {
 	st := g.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -190,7 +206,12 @@
 		News:        st.mirror.IsAfter(after) || c.Confirmation != known,
 		Reading:     g.readingStore.Load(),
 		Leaving:     g.leaving.Load(),
+		Full:        limited,
+		Copies:      st.fullCopies,
 	})
+	if _, ok := reply.(source.Give); ok && limited {
+		st.fullCopies++
+	}
 	return c, reply, st.mirrorChanged
 }
 
@@ -305,10 +326,14 @@
 // error if the request fails, or, after applying the changes, if the other's last confirming
 // read is too old.
 func (g *Gateway) copyOnce(ctx context.Context, from instance.Address, last *copiedFrom) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	var after mirror.Position
 	g.state.withLock(func() { after = g.state.mirror.Position() })
+	timeout := copyTimeout
+	if after.Counter == 0 {
+		timeout = firstCopyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	sentAt := boot.Now()
 	c, err := g.requestMirror(ctx, from, after, last.confirmation)
 	if err != nil {
@@ -347,6 +372,7 @@
 	}
 	if after.Counter == 0 {
 		query.Set("Compressed", "1")
+		query.Set("Spread", "1")
 	}
 	u := url.URL{
 		Scheme:   "http",
@@ -358,7 +384,7 @@
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
-	response, err := g.peerClient.Do(request)
+	response, err := g.awaitHead(request)
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
@@ -371,12 +397,48 @@
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
 		return mirrorCopy{}, errors.Wrap(errOutdated, response.Status)
+	case http.StatusTooManyRequests:
+		return mirrorCopy{}, errors.Wrap(errBusy, response.Status)
 	default:
 		return mirrorCopy{}, errors.Errorf("request mirror: %s", response.Status)
 	}
 	return decodeMirrorCopy(content)
 }
 
+// awaitHead sends a request to another instance, and waits for the head of its answer up to
+// copyTimeout.
+func (g *Gateway) awaitHead(r *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(r.Context())
+	timer := time.AfterFunc(copyTimeout, cancel)
+	response, err := g.peerClient.Do(r.WithContext(ctx))
+	inTime := timer.Stop()
+	switch {
+	case err != nil && !inTime:
+		err = os.ErrDeadlineExceeded
+		fallthrough
+	case err != nil:
+		cancel()
+		return nil, err
+	}
+	response.Body = &cancelledBody{
+		ReadCloser: response.Body,
+		cancel:     cancel,
+	}
+	return response, nil
+}
+
+// cancelledBody ends its request's context when it is closed.
+type cancelledBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelledBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 func encodeMirrorCopy(c mirrorCopy) []byte {
 	b := appendNumber(nil, fieldCounter, uint64(c.At.Counter))
 	if c.At.Era > 0 {
--- a/internal/gateway/mirrorcopy_test.go
+++ b/internal/gateway/mirrorcopy_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"regexp"
 	"strings"
@@ -66,3 +68,42 @@
 	f.memory.put(targetPrefix+"mill-a", []byte("127.0.0.1:10000"), 0)
 	f.await(func() bool { return strings.Count(f.log.String(), "msg=\"target registered\"") == len(f.instances) })
 }
+
+// Guards against an instance whose link is used up because all that start at once copy from it,
+// and against refusing an earlier build, which would take that for the end of this instance.
+func TestAllContentIsSentToAFewAtATime(t *testing.T) {
+	const (
+		copies     = 3
+		entries    = 200
+		entryBytes = 100 << 10
+	)
+	is := is.New(t)
+	f := newTestFleet(t, 1, 1)
+	for i := range entries {
+		f.memory.put(fmt.Sprintf("other/%d", i), bytes.Repeat([]byte{byte(i)}, entryBytes), 0)
+	}
+	f.await(func() bool { return f.metrics(f.instances[0]) != "" })
+	peer := "http://" + f.instances[0].PeerAddress()
+	// ask returns the status, and the number of bytes of the answer if it is read.
+	ask := func(query string, read bool) (status int, size int64) {
+		response, err := http.Get(peer + "/?After=0" + query)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = response.Body.Close() })
+		if read {
+			size, _ = io.Copy(io.Discard, response.Body)
+		}
+		return response.StatusCode, size
+	}
+	f.await(func() bool {
+		_, size := ask("", true)
+		return size > entries*entryBytes
+	})
+	for range copies {
+		status, _ := ask("&Spread=1", false)
+		is.Equal(status, http.StatusOK)
+	}
+	status, _ := ask("&Spread=1", true)
+	is.Equal(status, http.StatusTooManyRequests)
+	status, _ = ask("", true)
+	is.Equal(status, http.StatusOK)
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -330,6 +330,8 @@
 	switch {
 	case errors.Is(err, errOutdated):
 		return source.Outdated
+	case errors.Is(err, errBusy):
+		return source.Busy
 	case errors.As(err, &network) && network.Timeout():
 		return source.Unanswered
 	default:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -98,6 +98,8 @@
 	source *source.Chooser
 	// publishedTrust is the time of trust that was last published.
 	publishedTrust time.Duration
+	// fullCopies is the number of instances to which all content is being sent.
+	fullCopies int
 	// mirrorChanged is closed and replaced when the mirror's position or confirmation
 	// changes.
 	mirrorChanged chan struct{}
--- a/pkg/source/answer.go
+++ b/pkg/source/answer.go
@@ -9,6 +9,10 @@
 	// maxHold is how long a follower waits for a change or a new confirmation before it is
 	// answered without one.
 	maxHold = 800 * time.Millisecond
+	// maxCopies is how many followers that have nothing an instance sends all its content to
+	// at a time. Those that have it send it on, so that the whole of a zone that starts
+	// doesn't wait for one link.
+	maxCopies = 3
 	// TakeoverTime is how long a follower waits for the first confirmation of an instance
 	// that is to read the store next. It is longer than a slow answer of the store.
 	TakeoverTime = 250 * time.Millisecond
@@ -25,6 +29,10 @@
 	Reading bool
 	// Leaving is set once the instance is stopping.
 	Leaving bool
+	// Full is set if the follower has nothing, and Copies is the number of others to which
+	// all content is being sent.
+	Full   bool
+	Copies int
 }
 
 // fresh reports whether the content was confirmed lately.
@@ -32,7 +40,7 @@
 	return c.Confirmed && now-c.ConfirmedAt <= MaxAge
 }
 
-// Reply is what an instance does with a follower's request: Give, Hold or Decline.
+// Reply is what an instance does with a follower's request: Give, Hold, Defer or Decline.
 type Reply interface{ reply() }
 
 // Give answers it with the content.
@@ -44,11 +52,15 @@
 	Until time.Duration
 }
 
+// Defer tells the follower that the instance is Busy.
+type Defer struct{}
+
 // Decline tells the follower to find another instance.
 type Decline struct{}
 
 func (Give) reply()    {}
 func (Hold) reply()    {}
+func (Defer) reply()   {}
 func (Decline) reply() {}
 
 // Answer decides about a request of a follower that arrived at a time. A follower is held no
@@ -57,7 +69,10 @@
 // reads and gets no answers.
 func (c *Chooser) Answer(now, arrivedAt time.Duration, content Content) Reply {
 	if content.fresh(now) {
-		if content.News || now >= arrivedAt+maxHold {
+		switch {
+		case content.Full && content.Copies >= maxCopies:
+			return Defer{}
+		case content.News || now >= arrivedAt+maxHold:
 			return Give{}
 		}
 		return Hold{
--- a/pkg/source/chooser.go
+++ b/pkg/source/chooser.go
@@ -15,6 +15,9 @@
 	// absentTerm is how long an instance that could not be reached, or that the store
 	// rejects, isn't followed: that usually lasts for seconds.
 	absentTerm = 4 * time.Second
+	// busyTerm is how long an instance that sends its content to others already isn't asked
+	// for it again, nor one that has nothing yet while the zone starts.
+	busyTerm = 150 * time.Millisecond
 	// outdatedTerm is how long an instance without recently confirmed content isn't
 	// followed. It may be about to read the store.
 	outdatedTerm = 600 * time.Millisecond
@@ -97,6 +100,8 @@
 	Gone
 	// Outdated is an instance whose content hasn't been confirmed lately.
 	Outdated
+	// Busy is an instance that sends all its content to as many others as it may.
+	Busy
 )
 
 // Chooser chooses the source of one instance. It is not safe for concurrent use.
@@ -113,6 +118,9 @@
 	lostAt     time.Duration
 	// nextCatchUp is when the store is read once; zero if that isn't decided.
 	nextCatchUp time.Duration
+	// spreading is set while the instance has no content and those that have some are busy,
+	// because the whole zone starts.
+	spreading bool
 }
 
 // New returns the chooser of an instance that knows no members.
@@ -159,6 +167,9 @@
 			return CatchUp{}
 		}
 	}
+	if c.spreading {
+		first = c.any(now)
+	}
 	if first != "" {
 		return Follow{
 			Instance: first,
@@ -169,6 +180,22 @@
 	}
 }
 
+// any returns an instance of the zone that isn't skipped. Each instance has an order of its own,
+// so that those that start ask different ones.
+func (c *Chooser) any(now time.Duration) instance.Address {
+	key := instance.Hash("copy", xxhash.Sum64String(string(c.self.Address)))
+	var best instance.Address
+	for _, a := range c.order {
+		if a == c.self.Address || now < c.skipUntil[a] {
+			continue
+		}
+		if best == "" || instance.Score(key, a) > instance.Score(key, best) {
+			best = a
+		}
+	}
+	return best
+}
+
 // alone reports whether so many instances were of no use that the store is to be read.
 func (c *Chooser) alone() bool {
 	return c.failures >= min(maxFailures, len(c.order)-1) || c.unanswered >= maxUnanswered
@@ -202,10 +229,16 @@
 // Copied records that the instance has copied confirmed content.
 func (c *Chooser) Copied() {
 	c.failures, c.unanswered, c.nextCatchUp = 0, 0, 0
+	c.spreading = false
 }
 
 // Failed records that an instance was of no use.
 func (c *Chooser) Failed(now time.Duration, a instance.Address, f Failure) {
+	if f == Busy || f == Outdated && c.spreading {
+		c.spreading = true
+		c.skipUntil[a] = now + busyTerm
+		return
+	}
 	if c.failures == 0 {
 		c.lostAt = now
 	}
--- a/pkg/source/doc.go
+++ b/pkg/source/doc.go
@@ -15,7 +15,8 @@
 //
 // An instance that starts learns the members by one list. It copies from one of its zone,
 // or, if nobody there has anything yet, waits until the others have registered: all of a
-// zone may have started at once.
+// zone may have started at once. An instance sends all its content to a few at a time; the
+// others ask any instance of the zone, so that those that have it pass it on.
 //
 // # Usage
 //
--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -20,6 +20,7 @@
 	callTimeout       = 1500 * time.Millisecond
 	confirmPeriod     = 600 * time.Millisecond
 	copyTimeout       = 1200 * time.Millisecond
+	firstCopyTimeout  = 4 * time.Second
 	maxUsualAge       = 1100 * time.Millisecond
 	settleTime        = 200 * time.Millisecond
 	renewPeriod       = 2500 * time.Millisecond
@@ -53,6 +54,8 @@
 	// down is set while the store answers nobody.
 	down  bool
 	calls float64
+	// copyTime is how long an instance's link takes to send all content once.
+	copyTime time.Duration
 }
 
 // simulatedInstance is one process.
@@ -79,6 +82,9 @@
 	watching bool
 	waiting  []func()
 	calls    float64
+	// sendsUntil is when the link has sent the copies so far, and copies is their number.
+	sendsUntil time.Duration
+	copies     int
 	// oldest is the greatest age of the confirmation at any time after the first.
 	oldest time.Duration
 	// lag is the longest time until a change was known.
@@ -221,6 +227,7 @@
 	x.alive = true
 	x.chooser = source.New(x.info.Info)
 	x.registered, x.mirror, x.confirmedAt, x.reading, x.watching, x.backoff = false, 0, -1, false, false, 0
+	x.copies, x.sendsUntil = 0, 0
 	x.waiting = nil
 	x.register()
 	x.discover(true)
@@ -434,6 +441,7 @@
 // answer is what a follower gets.
 type answer struct {
 	ok          bool
+	busy        bool
 	counter     int64
 	age         time.Duration
 	confirmedAt time.Duration
@@ -460,7 +468,11 @@
 		return
 	}
 	ended := false
-	f.After(copyTimeout, func() {
+	timeout := copyTimeout
+	if x.mirror == 0 {
+		timeout = firstCopyTimeout
+	}
+	f.After(timeout, func() {
 		if !ended {
 			ended = true
 			failed(source.Unanswered)
@@ -477,7 +489,11 @@
 					return
 				}
 				ended = true
-				if !r.ok {
+				switch {
+				case r.busy:
+					failed(source.Busy)
+					return
+				case !r.ok:
 					failed(source.Outdated)
 					return
 				}
@@ -507,22 +523,39 @@
 			Confirmed:   x.confirmedAt >= 0,
 			News:        x.mirror > after || x.confirmedAt > known,
 			Reading:     x.watching,
+			Full:        after == 0,
+			Copies:      x.copies,
 		}).(type) {
 		case source.Give:
 			ended = true
-			reply(answer{
+			r := answer{
 				ok:          true,
 				counter:     x.mirror,
 				age:         f.Now() - x.confirmedAt,
 				confirmedAt: x.confirmedAt,
 				held:        f.Now() - arrivedAt,
-			})
+			}
+			if after == 0 {
+				x.sendsUntil = max(x.sendsUntil, f.Now()) + f.copyTime
+				x.copies++
+				f.After(x.sendsUntil-f.Now(), func() {
+					x.copies--
+					reply(r)
+				})
+				return
+			}
+			reply(r)
 		case source.Hold:
 			x.waiting = append(x.waiting, look)
 			if decision.Until != timer {
 				timer = decision.Until
 				f.After(timer-f.Now(), look)
 			}
+		case source.Defer:
+			ended = true
+			reply(answer{
+				busy: true,
+			})
 		case source.Decline:
 			ended = true
 			reply(answer{})
@@ -605,6 +638,41 @@
 // seeds are those of each test.
 const seeds = 2
 
+// Load: all instances of a large fleet start at once, for the first time or after all were
+// killed, and a link takes 0.15 s to send all content once. Guards against instances that wait
+// for a reader that sends it to each of them.
+func TestAllInstancesStartOverSlowLinks(t *testing.T) {
+	const (
+		copyTime = 150 * time.Millisecond
+		// maxStartTime is when all must know the content.
+		maxStartTime = 4 * time.Second
+		perZone      = 90
+	)
+	for _, killed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("killed %v", killed), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds) {
+				is := is.New(t)
+				f := newFleet(testZones, perZone, seed)
+				if killed {
+					f.startAll()
+					f.Run(10 * time.Second)
+					for _, x := range f.instances {
+						x.kill()
+					}
+				}
+				f.copyTime = copyTime
+				f.resetMeasures()
+				f.startAll()
+				f.Run(maxStartTime)
+				fresh, alive := f.known()
+				is.Equal(fresh, alive)
+				is.True(f.calls <= callsOfInstance*float64(len(f.instances))+callsOfZone*testZones)
+			}
+		})
+	}
+}
+
 // Guards against instances that each list and watch the store when all start at once, and
 // against a day whose calls grow with more than registrations.
 func TestCallsOfAFleetThatStarts(t *testing.T) {
