Let instances that start ask for all content ten times a second at most

Cause, suspected: an instance that was deferred asked the next one at once, and all others had nothing yet either; hundreds of requests a second for each instance, which has a sixth of a core.

Why this works: 0.1 s between two requests. The simulated fleet counts them: at most 30 for each instance until all have the content.

--- a/pkg/source/chooser.go
+++ b/pkg/source/chooser.go
@@ -18,6 +18,9 @@
 	// busyTerm is how long an instance that sends its content to others already isn't asked
 	// for it again, nor one that has nothing yet while the zone starts.
 	busyTerm = 150 * time.Millisecond
+	// askPause is the pause between two requests of an instance for all content. Each costs
+	// the others, which start as well, processor time.
+	askPause = 100 * time.Millisecond
 	// outdatedTerm is how long an instance without recently confirmed content isn't
 	// followed. It may be about to read the store.
 	outdatedTerm = 600 * time.Millisecond
@@ -119,8 +122,9 @@
 	// nextCatchUp is when the store is read once; zero if that isn't decided.
 	nextCatchUp time.Duration
 	// spreading is set while the instance has no content and those that have some are busy,
-	// because the whole zone starts.
+	// because the whole zone starts. The next one isn't asked before nextAsk.
 	spreading bool
+	nextAsk   time.Duration
 }
 
 // New returns the chooser of an instance that knows no members.
@@ -168,6 +172,11 @@
 		}
 	}
 	if c.spreading {
+		if now < c.nextAsk {
+			return Wait{
+				For: c.nextAsk - now,
+			}
+		}
 		first = c.any(now)
 	}
 	if first != "" {
@@ -237,6 +246,7 @@
 	if f == Busy || f == Outdated && c.spreading {
 		c.spreading = true
 		c.skipUntil[a] = now + busyTerm
+		c.nextAsk = now + askPause
 		return
 	}
 	if c.failures == 0 {
--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -85,6 +85,8 @@
 	// sendsUntil is when the link has sent the copies so far, and copies is their number.
 	sendsUntil time.Duration
 	copies     int
+	// asked counts the requests for all content.
+	asked int
 	// oldest is the greatest age of the confirmation at any time after the first.
 	oldest time.Duration
 	// lag is the longest time until a change was known.
@@ -227,7 +229,7 @@
 	x.alive = true
 	x.chooser = source.New(x.info.Info)
 	x.registered, x.mirror, x.confirmedAt, x.reading, x.watching, x.backoff = false, 0, -1, false, false, 0
-	x.copies, x.sendsUntil = 0, 0
+	x.copies, x.sendsUntil, x.asked = 0, 0, 0
 	x.waiting = nil
 	x.register()
 	x.discover(true)
@@ -511,6 +513,9 @@
 func (x *simulatedInstance) serve(after int64, known, arrivedAt time.Duration, reply func(answer)) {
 	f := x.fleet
 	run := x.run
+	if after == 0 {
+		x.asked++
+	}
 	var look func()
 	var timer time.Duration
 	ended := false
@@ -647,6 +652,8 @@
 		// maxStartTime is when all must know the content.
 		maxStartTime = 4 * time.Second
 		perZone      = 90
+		// maxAsked is how often an instance may be asked for all content.
+		maxAsked = 30
 	)
 	for _, killed := range []bool{false, true} {
 		t.Run(fmt.Sprintf("killed %v", killed), func(t *testing.T) {
@@ -668,6 +675,12 @@
 				fresh, alive := f.known()
 				is.Equal(fresh, alive)
 				is.True(f.calls <= callsOfInstance*float64(len(f.instances))+callsOfZone*testZones)
+				asked := 0
+				for _, x := range f.instances {
+					asked += x.asked
+				}
+				t.Logf("%d requests for all content", asked)
+				is.True(asked <= maxAsked*len(f.instances))
 			}
 		})
 	}
