--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -472,13 +472,13 @@
 	permit *permit
 }
 
-// strike returns the strike that an attempt is if its target has crashed, and false
-// if it can be none.
-func (r attemptReport) strike() (quarantine.UnconfirmedStrike, bool) {
+// strike returns the strike that the attempt is if its target has crashed, and false if it
+// can be none.
+func (r attemptReport) strike() (quarantine.OwnStrike, bool) {
 	if r.permit == nil || r.outcome != target.Crashed && r.outcome != target.Disconnected {
-		return quarantine.UnconfirmedStrike{}, false
+		return quarantine.OwnStrike{}, false
 	}
-	return quarantine.UnconfirmedStrike{
+	return quarantine.OwnStrike{
 		TallyStrike: quarantine.TallyStrike{
 			Target:      r.target,
 			Incarnation: r.incarnation,
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -412,12 +412,11 @@
 	timer := time.AfterFunc(copyTimeout, cancel)
 	response, err := g.peerClient.Do(r.WithContext(ctx))
 	inTime := timer.Stop()
-	switch {
-	case err != nil && !inTime:
-		err = os.ErrDeadlineExceeded
-		fallthrough
-	case err != nil:
+	if err != nil {
 		cancel()
+		if !inTime {
+			err = os.ErrDeadlineExceeded
+		}
 		return nil, err
 	}
 	response.Body = &cancelledBody{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -114,7 +114,7 @@
 
 // recordStrike records a strike that this instance has seen. confirmed says that it didn't
 // count at first.
-func (g *Gateway) recordStrike(s quarantine.UnconfirmedStrike, confirmed bool) {
+func (g *Gateway) recordStrike(s quarantine.OwnStrike, confirmed bool) {
 	g.logger.Info("strike",
 		slog.String("Request", s.RequestID),
 		slog.String("Fingerprint", s.Fingerprint.String()),
@@ -150,7 +150,7 @@
 // confirmStrikes records the strikes whose targets have turned out to have ended, and reports
 // them to all instances.
 func (g *Gateway) confirmStrikes() {
-	var confirmed []quarantine.UnconfirmedStrike
+	var confirmed []quarantine.OwnStrike
 	st := g.state
 	st.withLock(func() { confirmed = st.unconfirmed.Confirm(boot.Now(), st.targets.Ended) })
 	for _, s := range confirmed {
--- a/internal/gateway/quarantine_internal_test.go
+++ b/internal/gateway/quarantine_internal_test.go
@@ -44,7 +44,7 @@
 				Suspect: f,
 			}
 			if tt.own {
-				g.recordStrike(quarantine.UnconfirmedStrike{
+				g.recordStrike(quarantine.OwnStrike{
 					TallyStrike: quarantine.TallyStrike{
 						Target: first.Target,
 						Own:    true,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,8 +84,8 @@
 	g.deregister()
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-exitReserve)
 	defer cancel()
-	hurry := time.AfterFunc(g.settings.StopTimeout-exitReserve-answerReserve, g.contained(g.callers.GiveUpBlocking))
-	defer hurry.Stop()
+	giveUp := time.AfterFunc(g.settings.StopTimeout-exitReserve-answerReserve, g.contained(g.callers.GiveUpBlocking))
+	defer giveUp.Stop()
 	sleep(ctx, balancerLag)
 	err := g.shutdown(ctx)
 	g.logger.Info("stopped",
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -59,10 +59,10 @@
 	openBody *body
 	// idleUntil is when a connection without requests ends.
 	idleUntil time.Time
-	// leaving is set when the connection ends with its next answers, and hurrying when
+	// leaving is set when the connection ends with its next answers, and givesUpBlocking when
 	// requests that hold back later answers are given up.
-	leaving  bool
-	hurrying bool
+	leaving         bool
+	givesUpBlocking bool
 	// isBroken is set when broken is closed.
 	isBroken bool
 	// lingers is set if the caller may not have received all answers when the connection
@@ -405,16 +405,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queue.SetReady(x.id)
-	if c.hurrying {
+	if c.givesUpBlocking {
 		c.cancelBlocking()
 	}
 }
 
-// hurry gives up requests that hold back later answers, from now on.
-func (c *conn) hurry() {
+// giveUpBlocking gives up requests that hold back later answers, from now on.
+func (c *conn) giveUpBlocking() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hurrying = true
+	c.givesUpBlocking = true
 	c.cancelBlocking()
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -58,14 +58,14 @@
 	panics         metrics.Counter
 	places         *pipeline.Places
 
-	mu       sync.Mutex
-	listener net.Listener
-	accepted chan struct{} // closed when Serve accepts no more
-	conns    map[*conn]struct{}
-	leaving  bool
-	hurrying bool
-	stopping bool
-	ended    chan struct{} // receives when a connection has ended while the server stops
+	mu              sync.Mutex
+	listener        net.Listener
+	accepted        chan struct{} // closed when Serve accepts no more
+	conns           map[*conn]struct{}
+	leaving         bool
+	givesUpBlocking bool
+	stopping        bool
+	ended           chan struct{} // receives when a connection has ended while the server stops
 }
 
 // Option configures a Server.
@@ -164,13 +164,13 @@
 	c := newConn(s, raw)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	leaving, hurrying, stopping := s.leaving, s.hurrying, s.stopping
+	leaving, givesUpBlocking, stopping := s.leaving, s.givesUpBlocking, s.stopping
 	s.mu.Unlock()
 	if leaving {
 		c.leave()
 	}
-	if hurrying {
-		c.hurry()
+	if givesUpBlocking {
+		c.giveUpBlocking()
 	}
 	if stopping {
 		c.endIdle(leaveGrace)
@@ -216,10 +216,10 @@
 // called shortly before Close, which would lose them.
 func (s *Server) GiveUpBlocking() {
 	s.mu.Lock()
-	s.hurrying = true
+	s.givesUpBlocking = true
 	s.mu.Unlock()
 	for _, c := range s.list() {
-		c.hurry()
+		c.giveUpBlocking()
 	}
 }
 
--- a/pkg/quarantine/unconfirmed.go
+++ b/pkg/quarantine/unconfirmed.go
@@ -17,11 +17,11 @@
 // lost, so that the target may not have crashed. Such a strike counts once the target's run
 // turns out to have ended. An Unconfirmed is not safe for concurrent use.
 type Unconfirmed struct {
-	strikes []UnconfirmedStrike
+	strikes []OwnStrike
 }
 
-// UnconfirmedStrike is a strike that doesn't count yet.
-type UnconfirmedStrike struct {
+// OwnStrike is a strike that this instance has seen itself.
+type OwnStrike struct {
 	TallyStrike
 	Fingerprint Fingerprint
 	// RequestID is for logs.
@@ -31,16 +31,16 @@
 }
 
 // Add adds a strike.
-func (u *Unconfirmed) Add(s UnconfirmedStrike) {
+func (u *Unconfirmed) Add(s OwnStrike) {
 	u.strikes = append(u.strikes, s)
 	u.strikes = u.strikes[max(0, len(u.strikes)-maxUnconfirmed):]
 }
 
 // Confirm removes and returns the strikes that count now. ended reports whether a run of a
 // target has ended.
-func (u *Unconfirmed) Confirm(now time.Duration, ended func(target string, incarnation int64) bool) []UnconfirmedStrike {
-	var confirmed []UnconfirmedStrike
-	u.strikes = slices.DeleteFunc(u.strikes, func(s UnconfirmedStrike) bool {
+func (u *Unconfirmed) Confirm(now time.Duration, ended func(target string, incarnation int64) bool) []OwnStrike {
+	var confirmed []OwnStrike
+	u.strikes = slices.DeleteFunc(u.strikes, func(s OwnStrike) bool {
 		switch {
 		case now-s.At > confirmTerm:
 			return true
@@ -55,5 +55,5 @@
 
 // Clear removes the strikes of a request that a target answered.
 func (u *Unconfirmed) Clear(f Fingerprint) {
-	u.strikes = slices.DeleteFunc(u.strikes, func(s UnconfirmedStrike) bool { return s.Fingerprint == f })
+	u.strikes = slices.DeleteFunc(u.strikes, func(s OwnStrike) bool { return s.Fingerprint == f })
 }
--- a/pkg/quarantine/unconfirmed_test.go
+++ b/pkg/quarantine/unconfirmed_test.go
@@ -47,7 +47,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			u := quarantine.Unconfirmed{}
-			u.Add(quarantine.UnconfirmedStrike{
+			u.Add(quarantine.OwnStrike{
 				TallyStrike: quarantine.TallyStrike{
 					Target:      "desk-1",
 					Incarnation: 7,
--- a/pkg/source/chooser.go
+++ b/pkg/source/chooser.go
@@ -177,7 +177,7 @@
 				For: c.nextAsk - now,
 			}
 		}
-		first = c.any(now)
+		first = c.anyMember(now)
 	}
 	if first != "" {
 		return Follow{
@@ -189,9 +189,9 @@
 	}
 }
 
-// any returns an instance of the zone that isn't skipped. Each instance has an order of its own,
+// anyMember returns an instance of the zone that isn't skipped. Each instance has an order of its own,
 // so that those that start ask different ones.
-func (c *Chooser) any(now time.Duration) instance.Address {
+func (c *Chooser) anyMember(now time.Duration) instance.Address {
 	key := instance.Hash("copy", xxhash.Sum64String(string(c.self.Address)))
 	var best instance.Address
 	for _, a := range c.order {
