Log how many attempts a request has had and may have, and attempts lost at other instances

Logs couldn't tell apart the hypotheses of the incident: 'placed' and 'relayed' didn't say how many attempts counted, and nothing said that an attempt through another instance ended without an answer.

--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -64,6 +64,8 @@
 		slog.String("Service", x.service),
 		slog.String("Target", slot.Target().Name),
 		slog.Int("Attempt", n),
+		slog.Int("Sent", x.sentAttempts),
+		slog.Int("Allowed", x.maxSentAttempts()),
 		slog.Uint64("Revision", x.snapshot.Index.Revision()),
 		slog.Duration("Left", time.Until(x.deadline)),
 	}
@@ -122,10 +124,23 @@
 		slog.String("Service", x.service),
 		slog.String("Peer", string(relay.Instance())),
 		slog.Int("Attempt", n),
+		slog.Int("Sent", x.sentAttempts),
+		slog.Int("Allowed", x.maxSentAttempts()),
 		slog.Uint64("Revision", x.snapshot.Index.Revision()),
 		slog.Duration("Left", time.Until(x.deadline)))
 }
 
+// logLostRelay logs that it isn't known what became of an attempt through another instance.
+func (x *exchange) logLostRelay(relay Relay) {
+	if !x.handler.logDecisions {
+		return
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "relay lost",
+		slog.String("Request", x.id),
+		slog.String("Peer", string(relay.Instance())),
+		slog.Int("Sent", x.sentAttempts))
+}
+
 // logIgnoredRest logs values of a target's Retry-After that can't be used.
 func (x *exchange) logIgnoredRest(values []string) {
 	x.handler.logger.LogAttrs(context.Background(), slog.LevelWarn, "target's Retry-After ignored",
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -168,6 +168,8 @@
 		failure := a.exchange.timeoutFailure()
 		if err.Stage != forward.Sent {
 			failure = unsentRelay(target.Cancelled)
+		} else {
+			a.recordLost()
 		}
 		a.release(RelayAbandoned)
 		return failure
@@ -175,6 +177,7 @@
 		a.release(RelayFailed)
 		return unsentRelay(target.Refused)
 	default:
+		a.recordLost()
 		a.release(RelayFailed)
 		return failedAttempt{
 			outcome:    target.Crashed,
@@ -184,6 +187,12 @@
 	}
 }
 
+// recordLost records that it isn't known how many attempts the other instance has sent.
+func (a *relayAttempt) recordLost() {
+	a.exchange.handler.metrics.count("Relay.Lost")
+	a.exchange.logLostRelay(a.relay)
+}
+
 // unsentRelay returns the outcome of an attempt of which no byte reached another instance.
 func unsentRelay(outcome target.Outcome) failedAttempt {
 	return failedAttempt{
