Count attempts through other instances where the caller is

What callers saw: nothing at once; reads ran at up to 6 targets where their route allows 3, while their instance had no links to the targets. Cause: an instance through which a request goes made as many attempts as were left, also beside each other, and told how many only in its answer. If that was given up as overdue, or its connection ended, one was counted, and the next instance began from the smaller number. Attempts in progress when the links were lost came on top. Why this works: the other instance gets a share of one attempt, which counts as sent unless its answer says otherwise. The attempts are run, counted and granted by one instance, as those at targets are; while one through another instance is overdue, the next runs beside it. So one count serves the route's limit and the retry budget. A build that doesn't know shares is told that all but one attempt are used up.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -87,7 +87,7 @@
 
 // bodyFailure returns the outcome of an attempt whose answer broke off while the
 // beginning of its body was read.
-func (a *answer) bodyFailure(ctx context.Context) attemptOutcome {
+func (a *answer) bodyFailure(ctx context.Context) failedAttempt {
 	a.cutShort = true
 	if ctx.Err() != nil {
 		failure := a.exchange.timeoutFailure()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/keepalive"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
@@ -64,6 +65,8 @@
 	unsent bool
 	// leavingTarget is the target, if it has announced in its answer that it is leaving.
 	leavingTarget string
+	// relayed is what became of the attempt at another instance, if it went through one.
+	relayed *relayedAttempts
 }
 
 func (usableAnswer) attemptOutcome()  {}
@@ -73,6 +76,8 @@
 // target.
 func (x *exchange) countAttempt(failed failedAttempt) {
 	switch {
+	case failed.relayed != nil:
+		x.countRelayedAttempts(*failed.relayed)
 	case failed.unsent:
 	case failed.outcome == target.Refused:
 		x.unreached = true
@@ -94,7 +99,7 @@
 		return false
 	case failure.mayHaveRun && !x.repeatable:
 		return false
-	case x.retryGranted.Swap(false), granted:
+	case granted:
 		return true
 	}
 	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
@@ -104,14 +109,34 @@
 	})
 }
 
-// maxSentAttempts returns how many attempts of the request may reach a target.
+// maxSentAttempts returns how many attempts of the request may reach a target. It compares
+// with sentAttempts.
 func (x *exchange) maxSentAttempts() int {
-	if x.route.Attempts > 0 {
-		return x.route.Attempts
+	most := allowedAttempts(x.route)
+	if r := x.relayed; r != nil && r.share > 0 {
+		return r.sentAttempts + min(r.share, most-r.earlierAttempts)
+	}
+	return most
+}
+
+// allowedAttempts returns how many attempts of a request on a route may reach a target.
+func allowedAttempts(r *document.Route) int {
+	if r.Attempts > 0 {
+		return r.Attempts
 	}
 	return defaultMaxSentAttempts
 }
 
+// attemptAtTarget returns attempt n at a target, and after which time its answer is overdue;
+// or the failure if there is no target. beside is as in place.
+func (x *exchange) attemptAtTarget(ctx context.Context, n int, beside bool) (attempt, time.Duration, *failedAttempt) {
+	p, failed := x.place(ctx, n, beside)
+	if failed != nil {
+		return nil, 0, failed
+	}
+	return p, p.slot.OverdueAfter(), nil
+}
+
 // recordCrash reports to the quarantine that the request crashed a target, and
 // returns whether it may run once more.
 func (x *exchange) recordCrash(ctx context.Context, crashedTarget string) bool {
@@ -170,7 +195,7 @@
 		id:       x.attemptID(n),
 		newConnection: !x.handler.mayReuseConnection(keepalive.Request{
 			Repeatable: x.repeatable,
-			Retry:      x.sentAttempts > 0 || beside,
+			Retry:      x.earlierAttempts() > 0 || beside,
 			Suspect:    x.permit.Suspect(),
 		}),
 	}
@@ -204,8 +229,7 @@
 
 // attemptContext returns the context of attempt n. It ends at the permit's deadline
 // at the latest. The first attempt of a repeatable request leaves time for a second
-// one; if the slot gives a time after which its answer is overdue,
-// cancelWhenOverdue does so instead.
+// one, unless the slot gives a time after which one runs beside it.
 func (x *exchange) attemptContext(ctx context.Context, n int, overdueAfter time.Duration) (context.Context, context.CancelFunc) {
 	limit := x.deadline
 	if x.repeatable && overdueAfter <= 0 && n == 1 {
@@ -217,28 +241,6 @@
 	return context.WithDeadline(ctx, limit)
 }
 
-// cancelWhenOverdue cancels attempt n, which goes through another instance, after wait, if a
-// retry that replaces it is granted. Otherwise the attempt continues, since its answer may
-// still arrive. An instance that is leaving cancels no attempt that a target may be working
-// on. The returned function stops the timer and cancels the attempt.
-func (x *exchange) cancelWhenOverdue(ctx context.Context, cancel context.CancelFunc, wait time.Duration, n int) context.CancelFunc {
-	timer := time.AfterFunc(wait, func() {
-		x.handler.contain(func() {
-			if x.handler.deps.Snapshots.Current().Leaving || ctx.Err() != nil {
-				return
-			}
-			if x.retryOverdue(ctx, n) {
-				x.retryGranted.Store(true)
-				cancel()
-			}
-		})
-	})
-	return func() {
-		timer.Stop()
-		cancel()
-	}
-}
-
 // retryOverdue asks for a retry of attempt n, whose answer is overdue.
 func (x *exchange) retryOverdue(ctx context.Context, n int) bool {
 	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
@@ -318,8 +320,10 @@
 	released bool
 }
 
-// send sends the attempt and returns its outcome. An unexpected failure of the program is a
-// failure of the attempt.
+// abandon implements attempt.
+func (p *placedAttempt) abandon() { p.cancel() }
+
+// send implements attempt. An unexpected failure of the program is a failure of the attempt.
 func (p *placedAttempt) send() attemptOutcome {
 	h := p.exchange.handler
 	var outcome attemptOutcome
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,12 +45,10 @@
 	permit  Permit
 
 	// sentAttempts counts the failed attempts that were sent. Those that didn't reach
-	// their target don't count; unreached is set if there were any.
+	// their target don't count; unreached is set if there were any. If another instance sent
+	// the request here, the attempts that are not its share count too.
 	sentAttempts int
 	unreached    bool
-	// retryGranted is set when a retry was granted while the attempt that it
-	// replaces was still in progress.
-	retryGranted atomic.Bool
 	// triedTargets are the names of the targets of all attempts so far, and sentTargets
 	// those of the attempts that sentAttempts counts.
 	triedTargets []string
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -130,15 +130,16 @@
 		slog.Duration("Left", time.Until(x.deadline)))
 }
 
-// logLostRelay logs that it isn't known what became of an attempt through another instance.
-func (x *exchange) logLostRelay(relay Relay) {
+// logLost logs that it isn't known what became of an attempt through another instance.
+func (a *relayAttempt) logLost() {
+	x := a.exchange
 	if !x.handler.logDecisions {
 		return
 	}
 	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "relay lost",
 		slog.String("Request", x.id),
-		slog.String("Peer", string(relay.Instance())),
-		slog.Int("Sent", x.sentAttempts))
+		slog.String("Peer", string(a.relay.Instance())),
+		slog.Int("Sent", a.sent))
 }
 
 // logIgnoredRest logs values of a target's Retry-After that can't be used.
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -18,9 +18,18 @@
 	overduePeriod = 500 * time.Millisecond
 )
 
+// attempt is an attempt that a race runs: a *placedAttempt or a *relayAttempt.
+type attempt interface {
+	// send sends the attempt and returns its outcome.
+	send() attemptOutcome
+	// abandon ends the attempt's context.
+	abandon()
+}
+
 // race runs the attempts at one request, one after the other. While the answer to an attempt
 // at a repeatable request is overdue, another one may run beside it: the first may be at a
-// target that has stopped answering, or just take long. The first usable answer is taken.
+// target, or go through an instance, that has stopped answering, or just take long. The first
+// usable answer is taken.
 type race struct {
 	exchange *exchange
 	ctx      context.Context
@@ -43,7 +52,7 @@
 
 // runningAttempt is an attempt in progress that another one may run beside.
 type runningAttempt struct {
-	placed *placedAttempt
+	attempt attempt
 	// mu is held while a retry is asked for. granted is set once it was.
 	mu      sync.Mutex
 	granted bool
@@ -88,6 +97,10 @@
 				return outcome.answer, nil
 			case failedAttempt:
 				if r.fail(outcome); len(r.running) > 0 {
+					if outcome.outcome == target.Refused && r.begun < maxAttempts {
+						r.unused = true // the attempt reached no target
+						r.startBeside()
+					}
 					continue
 				}
 				if r.mayGoOn() {
@@ -153,34 +166,28 @@
 }
 
 // start begins the next attempt: at a target, or through another instance if this one has
-// no links to the targets. beside says that another one is in progress. If the links are lost
-// meanwhile, that one is cancelled, and the next attempt replaces it.
+// no links to the targets. beside says that another one is in progress.
 func (r *race) start(beside bool) {
 	x := r.exchange
 	relay, err := x.acquireRelay(r.ctx)
-	switch {
-	case beside && err != nil:
+	if beside && err != nil {
 		r.startLater()
 		return
-	case beside && relay != nil:
-		relay.Release(RelayResult{
-			Outcome: RelayAbandoned,
-		})
-		for _, a := range r.running {
-			a.placed.cancel()
-		}
-		return
 	}
 	r.begun++
-	switch {
-	case err != nil:
+	if err != nil {
 		r.end(*unsentFailure(err))
 		return
-	case relay != nil:
-		r.end(x.attemptThrough(r.ctx, relay, r.begun))
-		return
 	}
-	p, failed := x.place(r.ctx, r.begun, beside)
+	var next attempt
+	var wait time.Duration
+	var failed *failedAttempt
+	if relay != nil {
+		next, failed = x.attemptThrough(r.ctx, relay, r.begun, len(r.running))
+		wait = relay.OverdueAfter()
+	} else {
+		next, wait, failed = x.attemptAtTarget(r.ctx, r.begun, beside)
+	}
 	switch {
 	case failed != nil && beside:
 		r.begun--
@@ -191,17 +198,16 @@
 		return
 	}
 	r.unused = false
-	wait := p.slot.OverdueAfter()
 	if !x.repeatable || wait <= 0 || x.permit.Suspect() {
-		r.end(p.send())
+		r.end(next.send())
 		return
 	}
-	r.watch(p, wait)
+	r.watch(next, wait)
 	number := r.begun
 	go func() {
 		r.ended <- endedAttempt{
 			number:  number,
-			outcome: p.send(),
+			outcome: next.send(),
 		}
 	}()
 }
@@ -217,10 +223,10 @@
 // watch has a retry asked for when the answer to an attempt is overdue: after wait, or when
 // its target seems to have stopped answering. A retry that is refused is asked for again. An
 // instance that is leaving asks for none.
-func (r *race) watch(p *placedAttempt, wait time.Duration) {
+func (r *race) watch(next attempt, wait time.Duration) {
 	number := r.begun
 	a := &runningAttempt{
-		placed: p,
+		attempt: next,
 	}
 	r.running[number] = a
 	if !r.hasRoom() {
@@ -243,7 +249,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.timer = time.AfterFunc(wait, contained)
-	p.slot.OnUnresponsive(contained)
+	if p, ok := next.(*placedAttempt); ok {
+		p.slot.OnUnresponsive(contained)
+	}
 }
 
 // hasRoom reports whether another attempt may run beside those in progress.
@@ -268,7 +276,7 @@
 func (r *race) abandon() {
 	left := len(r.running)
 	for number, a := range r.running {
-		a.placed.cancel()
+		a.attempt.abandon()
 		r.stopWatching(number)
 	}
 	if left == 0 {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -22,12 +22,18 @@
 	relayRequestName   = "Request"
 	relayRevisionName  = "Revision"
 	relaySentName      = "Sent"
+	relayShareName     = "Share"
+	relayEarlierName   = "Earlier"
 	relayTargetName    = "Target"
 	relayCountedName   = "Counted"
 	relayElsewhereName = "Elsewhere"
 	relayLeavingName   = "Leaving"
 )
 
+// relayShare is the number of attempts that another instance may send. It counts as sent if the
+// other instance doesn't say how many it has sent: it may not notice that its answer is lost.
+const relayShare = 1
+
 const (
 	// relayDialTimeout bounds connecting to another instance.
 	relayDialTimeout = 150 * time.Millisecond
@@ -41,8 +47,10 @@
 	requestID string
 	// revision is that of the document by which the other instance acted.
 	revision uint64
-	// sentAttempts is the exchange's sentAttempts with those of the other instance.
+	// sentAttempts is that of the request with the failed attempts of the other instance, and
+	// targets are the names of their targets, which earlier builds don't tell.
 	sentAttempts int
+	targets      []string
 	// elsewhere is set if the request has not run and another instance may serve it.
 	elsewhere bool
 	// leavingTarget is as in RelayResult.
@@ -62,58 +70,93 @@
 	})
 }
 
-// attemptThrough sends the request to another instance, which sends it to a target. The
-// other instance doesn't take its cost from the organisation's rate again, and its first
-// attempt is no retry unless this instance has already sent one.
-func (x *exchange) attemptThrough(ctx context.Context, relay Relay, n int) attemptOutcome {
+// attemptThrough returns attempt n, which goes through another instance, or the failure if it
+// can't begin. running is the number of attempts in progress. The other instance doesn't take
+// the request's cost from the organisation's rate again, and makes one attempt only: this
+// instance counts the attempts, and asks for their retries.
+func (x *exchange) attemptThrough(ctx context.Context, relay Relay, n, running int) (attempt, *failedAttempt) {
 	if err := x.renewGrant(ctx); err != nil {
 		relay.Release(RelayResult{
 			Outcome: RelayAbandoned,
 		})
-		return failedAttempt{
-			outcome: target.Cancelled,
-			refusal: asRefusal(err),
-			unsent:  true,
-		}
+		return nil, unsentFailure(err)
 	}
 	x.relays++
 	x.handler.metrics.count("Relay.Sent")
 	x.logRelay(relay, n)
-	ctx, cancel := context.WithCancel(ctx)
-	if wait := relay.OverdueAfter(); wait > 0 && x.repeatable && x.sentAttempts+1 < x.maxSentAttempts() {
-		cancel = x.cancelWhenOverdue(ctx, cancel, wait, n)
-	}
 	a := &relayAttempt{
 		exchange: x,
 		relay:    relay,
-		cancel:   cancel,
-	}
-	// A kept connection to another instance may have gone silent.
-	result := x.handler.relayClient.Do(ctx, forward.Attempt{
-		Address:       string(relay.Instance()),
-		Request:       x.relayRequest(),
-		NewConnection: true,
-		Gate:          x.gate(func() error { return x.checkBeforeSend(ctx) }),
-	})
-	switch r := result.(type) {
-	case forward.Answered:
-		return a.checkAnswer(ctx, r)
-	case forward.Failed:
-		return a.classifyFailure(ctx, r.Err)
+		sent:     max(x.sentAttempts+running, x.maxSentAttempts()-relayShare),
 	}
-	return nil
+	a.request = x.relayRequest(a.sent, running)
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	return a, nil
 }
 
 // relayAttempt is an attempt through another instance.
 type relayAttempt struct {
 	exchange *exchange
 	relay    Relay
-	// cancel ends the attempt's context.
+	request  *http.Request
+	// sent is what the other instance is told to count as sent: all attempts but its share.
+	sent int
+	// ctx is the attempt's context, and cancel ends it.
+	ctx    context.Context
 	cancel context.CancelFunc
 	// leavingTarget is as in RelayResult.
 	leavingTarget string
 }
 
+// relayedAttempts are the attempts of another instance.
+type relayedAttempts struct {
+	// sent is the number of attempts that may have reached a target, and targets are the
+	// names of their targets as far as known.
+	sent    int
+	targets []string
+	// counted is set if the other instance may have counted the request for the retry
+	// budget.
+	counted bool
+}
+
+// countRelayedAttempts counts the attempts of another instance.
+func (x *exchange) countRelayedAttempts(r relayedAttempts) {
+	x.sentAttempts += r.sent
+	x.sentTargets = append(x.sentTargets, r.targets...)
+	x.triedTargets = append(x.triedTargets, r.targets...)
+	x.counted = x.counted || r.counted
+}
+
+// lostAttempts are the attempts of an instance that hasn't answered.
+func lostAttempts() *relayedAttempts {
+	return &relayedAttempts{
+		sent:    relayShare,
+		counted: true,
+	}
+}
+
+// abandon implements attempt.
+func (a *relayAttempt) abandon() { a.cancel() }
+
+// send implements attempt.
+func (a *relayAttempt) send() attemptOutcome {
+	x := a.exchange
+	// A kept connection to another instance may have gone silent.
+	result := x.handler.relayClient.Do(a.ctx, forward.Attempt{
+		Address:       string(a.relay.Instance()),
+		Request:       a.request,
+		NewConnection: true,
+		Gate:          x.gate(func() error { return x.checkBeforeSend(a.ctx) }),
+	})
+	switch r := result.(type) {
+	case forward.Answered:
+		return a.checkAnswer(r)
+	case forward.Failed:
+		return a.classifyFailure(r.Err)
+	}
+	return nil
+}
+
 // release ends the attempt.
 func (a *relayAttempt) release(outcome RelayOutcome) {
 	a.cancel()
@@ -133,8 +176,9 @@
 }
 
 // relayRequest returns the request for another instance. It has the headers that the
-// caller sent, its key included, because the other instance checks the request itself.
-func (x *exchange) relayRequest() *http.Request {
+// caller sent, its key included, because the other instance checks the request itself. sent is
+// the number of attempts that it is to count as sent, and running those in progress.
+func (x *exchange) relayRequest(sent, running int) *http.Request {
 	out := forwardableRequest(x.request)
 	d := x.handler.dialect
 	if d.ForwardCallerIDs {
@@ -145,16 +189,18 @@
 	out.Header.Set(relayHeader, url.Values{
 		relayRequestName:  {x.id},
 		relayRevisionName: {strconv.FormatUint(max(x.snapshot.Index.Revision(), x.handler.relayRevision.Load()), 10)},
-		relaySentName:     {strconv.Itoa(x.sentAttempts)},
+		relaySentName:     {strconv.Itoa(sent)},
+		relayShareName:    {strconv.Itoa(relayShare)},
+		relayEarlierName:  {strconv.Itoa(x.sentAttempts + running)},
 		relayTargetName:   x.sentTargets,
-		relayCountedName:  {strconv.FormatBool(x.counted)},
+		relayCountedName:  {strconv.FormatBool(x.counted || running > 0)},
 	}.Encode())
 	x.setBody(out)
 	return out
 }
 
 // classifyFailure returns the outcome of an attempt that got no answer.
-func (a *relayAttempt) classifyFailure(ctx context.Context, err *forward.Error) attemptOutcome {
+func (a *relayAttempt) classifyFailure(err *forward.Error) attemptOutcome {
 	var refusal *Refusal
 	switch {
 	case err.Stage == forward.Gated && errors.As(err, &refusal):
@@ -164,14 +210,14 @@
 			refusal: refusal,
 			unsent:  true,
 		}
-	case ctx.Err() != nil:
-		failure := a.exchange.timeoutFailure()
-		if err.Stage != forward.Sent {
-			failure = unsentRelay(target.Cancelled)
-		} else {
-			a.recordLost()
-		}
+	case a.ctx.Err() != nil && err.Stage != forward.Sent:
 		a.release(RelayAbandoned)
+		return unsentRelay(target.Cancelled)
+	case a.ctx.Err() != nil:
+		a.recordLost()
+		a.release(RelayAbandoned)
+		failure := a.exchange.timeoutFailure()
+		failure.relayed = lostAttempts()
 		return failure
 	case err.Stage != forward.Sent:
 		a.release(RelayFailed)
@@ -183,6 +229,7 @@
 			outcome:    target.Crashed,
 			mayHaveRun: true,
 			refusal:    mayHaveRunRefusal("relay-connection-died"),
+			relayed:    lostAttempts(),
 		}
 	}
 }
@@ -190,7 +237,7 @@
 // recordLost records that it isn't known how many attempts the other instance has sent.
 func (a *relayAttempt) recordLost() {
 	a.exchange.handler.metrics.count("Relay.Lost")
-	a.exchange.logLostRelay(a.relay)
+	a.logLost()
 }
 
 // unsentRelay returns the outcome of an attempt of which no byte reached another instance.
@@ -207,9 +254,8 @@
 }
 
 // checkAnswer returns the outcome of an attempt that the other instance has answered: with
-// a target's answer, which is not retried because the other instance has done so if that
-// was possible, or with a refusal.
-func (a *relayAttempt) checkAnswer(ctx context.Context, r forward.Answered) attemptOutcome {
+// a target's answer or with a refusal.
+func (a *relayAttempt) checkAnswer(r forward.Answered) attemptOutcome {
 	x := a.exchange
 	out := &answer{
 		exchange:  x,
@@ -224,26 +270,39 @@
 			outcome:    target.Truncated,
 			mayHaveRun: true,
 			refusal:    mayHaveRunRefusal("relay-answer-crossed"),
+			relayed:    lostAttempts(),
 		}
 	}
 	a.leavingTarget = result.leavingTarget
-	x.counted = x.counted || !result.elsewhere
 	x.handler.recordRelayRevision(result.revision)
 	if r.Response.Header.Get(OutcomeHeader) != "" {
 		return a.checkRefusal(out, result)
 	}
+	attempts := &relayedAttempts{
+		sent:    max(result.sentAttempts-a.sent, relayShare),
+		targets: result.targets,
+		counted: true,
+	}
 	if err := out.readPrefix(); err != nil {
-		return out.bodyFailure(ctx)
+		failure := out.bodyFailure(a.ctx)
+		failure.relayed = attempts
+		return failure
+	}
+	if out.response.StatusCode < http.StatusInternalServerError || !x.repeatable {
+		return usableAnswer{
+			answer: out,
+		}
 	}
-	return usableAnswer{
-		answer: out,
+	return failedAttempt{
+		outcome:    target.Failed,
+		mayHaveRun: true,
+		fallback:   out,
+		relayed:    attempts,
 	}
 }
 
 // checkRefusal returns the outcome of an attempt that the other instance has refused.
 func (a *relayAttempt) checkRefusal(out *answer, result relayResult) attemptOutcome {
-	x := a.exchange
-	x.sentAttempts = max(x.sentAttempts, result.sentAttempts)
 	refusal := parseRefusal(out.response)
 	outcome := RelayAnswered
 	switch {
@@ -261,11 +320,34 @@
 			unsent:  true,
 		}
 	}
+	attempts := &relayedAttempts{
+		sent:    max(result.sentAttempts-a.sent, 0),
+		targets: result.targets,
+		counted: true,
+	}
 	return failedAttempt{
-		outcome:    target.Cancelled,
+		outcome:    a.refusedOutcome(refusal, attempts.sent),
 		mayHaveRun: refusal.MayHaveRun,
 		refusal:    refusal,
-		unsent:     true, // the other instance has counted its attempts
+		relayed:    attempts,
+	}
+}
+
+// refusedOutcome returns how another instance's attempt ended, of which it has sent some. It
+// is target.Cancelled if another attempt is of no use.
+func (a *relayAttempt) refusedOutcome(refusal *Refusal, sent int) target.Outcome {
+	timedOut := refusal.Status == http.StatusGatewayTimeout
+	switch {
+	case timedOut && time.Until(a.exchange.deadline) <= 2*relayReserve:
+		return target.Cancelled
+	case timedOut:
+		return target.TimedOut
+	case refusal.MayHaveRun:
+		return target.Failed
+	case sent > 0:
+		return target.Shed
+	default:
+		return target.Cancelled
 	}
 }
 
@@ -315,6 +397,7 @@
 		requestID:     values.Get(relayRequestName),
 		revision:      revision,
 		sentAttempts:  sent,
+		targets:       values[relayTargetName],
 		elsewhere:     values.Get(relayElsewhereName) == "true",
 		leavingTarget: values.Get(relayLeavingName),
 	}, nil
--- a/internal/entry/relay_receive.go
+++ b/internal/entry/relay_receive.go
@@ -25,9 +25,14 @@
 	// revision is the oldest revision of the document by which the request may be
 	// served.
 	revision uint64
-	// sentAttempts and sentTargets are the exchange's so far.
+	// sentAttempts is the number of attempts that count as sent, and share how many this
+	// instance may add. Earlier builds tell no share: what the route allows is left.
 	sentAttempts int
-	sentTargets  []string
+	share        int
+	// earlierAttempts is the number of attempts that have been sent, and sentTargets are
+	// the names of their targets as far as known.
+	earlierAttempts int
+	sentTargets     []string
 	// counted is set if the other instance has counted the request for the retry budget.
 	counted bool
 }
@@ -111,13 +116,33 @@
 	if err != nil {
 		return relayedRequest{}, errors.Wrap(err, "relayed request")
 	}
-	return relayedRequest{
-		requestID:    values.Get(relayRequestName),
-		revision:     revision,
-		sentAttempts: sent,
-		sentTargets:  values[relayTargetName],
-		counted:      values.Get(relayCountedName) == "true",
-	}, nil
+	r := relayedRequest{
+		requestID:       values.Get(relayRequestName),
+		revision:        revision,
+		sentAttempts:    sent,
+		earlierAttempts: sent,
+		sentTargets:     values[relayTargetName],
+		counted:         values.Get(relayCountedName) == "true",
+	}
+	if !values.Has(relayShareName) {
+		return r, nil
+	}
+	if r.share, err = strconv.Atoi(values.Get(relayShareName)); err != nil {
+		return relayedRequest{}, errors.Wrap(err, "relayed request")
+	}
+	if r.earlierAttempts, err = strconv.Atoi(values.Get(relayEarlierName)); err != nil {
+		return relayedRequest{}, errors.Wrap(err, "relayed request")
+	}
+	return r, nil
+}
+
+// earlierAttempts returns how many attempts of the request have been sent, those of other
+// instances included.
+func (x *exchange) earlierAttempts() int {
+	if x.relayed == nil {
+		return x.sentAttempts
+	}
+	return x.relayed.earlierAttempts + x.sentAttempts - x.relayed.sentAttempts
 }
 
 // RelayedRequests returns the number of requests of other instances in progress.
@@ -138,6 +163,7 @@
 		relayRequestName:   {x.id},
 		relayRevisionName:  {strconv.FormatUint(revision, 10)},
 		relaySentName:      {strconv.Itoa(x.sentAttempts)},
+		relayTargetName:    x.sentTargets[len(x.relayed.sentTargets):],
 		relayLeavingName:   {x.leavingTarget},
 		relayElsewhereName: {strconv.FormatBool(elsewhere && x.sentAttempts == x.relayed.sentAttempts)},
 	}.Encode())
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -26,9 +26,9 @@
 	// back at once.
 	unreachableRetryAfter = time.Second
 	unreachableSpread     = time.Second
-	// relayOverdueSlack is added to twice a route's response timeout, since the other
-	// instance may retry once.
-	relayOverdueSlack = 500 * time.Millisecond
+	// relayOverdueSlack is added to the time after which a target's answer is overdue, for
+	// the way through another instance.
+	relayOverdueSlack = 100 * time.Millisecond
 	// formerMemberTerm is how long an instance that isn't a member any more may send
 	// requests here: it deregisters first when it stops.
 	formerMemberTerm = time.Minute
@@ -80,7 +80,8 @@
 	var found bool
 	r.instance, found = st.helpers.Choose(boot.Now(), st.gateway.self, members, request.Service, key)
 	if s := st.services[request.Service]; s != nil {
-		r.overdueAfter = 2*s.latencies.ResponseTimeout(request.Route.Name, request.Route.Objective) + relayOverdueSlack
+		now := boot.Now()
+		r.overdueAfter = s.latencies.OverdueAfter(request.Route.Name, request.Route.Objective, s.retriesAreScarce(now)) + relayOverdueSlack
 	}
 	return found
 }
