Hold requests in progress to a lowered number of attempts

A request whose route a revision changes to fewer attempts went on by the number that its instance knew when it began, up to its deadline. The smaller of both numbers counts now, at the instance with the caller and at one through which the request goes, which refuses a request without attempts left. TestLoweredNumberOfAttemptsHoldsForRequestsInProgress failed before in both cases (3 arrivals for 1).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -113,6 +113,13 @@
 // with sentAttempts.
 func (x *exchange) maxSentAttempts() int {
 	most := allowedAttempts(x.route)
+	if s := x.handler.deps.Snapshots.Current(); s != x.snapshot && s.Index != nil {
+		// A document that has come into force meanwhile may allow fewer.
+		route := s.Index.Match(x.request.Host, x.request.URL.Path, x.request.Method)
+		if route != nil && route.Name == x.route.Name {
+			most = min(most, allowedAttempts(route))
+		}
+	}
 	if r := x.relayed; r != nil && r.share > 0 {
 		return r.sentAttempts + min(r.share, most-r.earlierAttempts)
 	}
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -69,6 +69,13 @@
 // run makes attempts until one yields a usable answer or no further attempt is
 // allowed.
 func (x *exchange) run(ctx context.Context) (*answer, error) {
+	if x.relayed != nil && x.sentAttempts >= x.maxSentAttempts() {
+		return nil, &Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "attempts-used-up",
+			RetryAfter: time.Second,
+		}
+	}
 	r := &race{
 		exchange: x,
 		ctx:      ctx,
--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -234,6 +235,50 @@
 	}
 }
 
+// Guards against further attempts at a request after a document has come into force that
+// allows fewer, at the instance that has the caller and at one through which the request goes.
+func TestLoweredNumberOfAttemptsHoldsForRequestsInProgress(t *testing.T) {
+	tests := []struct {
+		name  string
+		relay bool
+	}{
+		{
+			name: "at targets",
+		},
+		{
+			name:  "through other instances",
+			relay: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := newRelayEnv(t, 10, 4)
+			e.allowAttempts(3)
+			e.overdue = &overdueSettings{
+				wait:    2 * attemptOverdue,
+				granted: true,
+			}
+			e.relays.overdue = 2 * attemptOverdue
+			for _, s := range e.targets {
+				s.SetFaults(standin.TargetFaults{Hang: true})
+			}
+			time.AfterFunc(attemptOverdue, func() {
+				e.document.Routes = slices.Clone(e.document.Routes)
+				e.document.Revision++
+				e.allowAttempts(1)
+			})
+			if tt.relay {
+				e.callRelayed(http.MethodGet, "/bookings", "")
+			} else {
+				e.call(http.MethodGet, "/bookings", "")
+			}
+			is.Equal(e.arrivals(), uint64(1))
+		})
+	}
+}
+
 // Guards against a write that goes through a second instance while the first may still send
 // it.
 func TestRelayedWriteGoesThroughNoSecondInstance(t *testing.T) {
