--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -277,6 +277,48 @@
 	}
 }
 
+// maxAttempts is how many targets a read on a route without a limit of its own may reach.
+const maxAttempts = 3
+
+// Guards against reads that run at more targets than their route allows, over all instances
+// through which they go while links are lost and targets hang. There is time for each of these
+// instances to give up some.
+func TestReadsStayWithinTheirAttemptsWhileLinksAreLost(t *testing.T) {
+	const (
+		// Few enough for the retry budgets.
+		readsPerInstance = 1
+		timeout          = 10 * time.Second
+	)
+	f := newLinkFleet(t)
+	f.configure(configuration{
+		Revision: 2,
+		Keys:     []string{"key-1"},
+		Path:     "/one",
+		Timeout:  timeout,
+	})
+	inForce := `msg="configuration in force"`
+	f.await(func() bool { return strings.Count(f.log.String(), inForce) == 2*len(f.instances) })
+	f.cutLinks(withoutLinks, linksReset)
+	f.await(func() bool { return f.exchange(f.instances[0], http.MethodPost, "/one/1", "").status == http.StatusOK })
+	for _, s := range f.targets {
+		s.SetFaults(standin.TargetFaults{Hang: true})
+	}
+	var calls sync.WaitGroup
+	for n := range readsPerInstance {
+		for _, i := range withoutLinks {
+			calls.Go(func() { f.exchange(f.instances[i], http.MethodGet, "/one/1", fmt.Sprintf("%d-%d", n, i)) })
+		}
+	}
+	calls.Wait()
+	for n := range readsPerInstance {
+		for _, i := range withoutLinks {
+			if runs := f.runs(fmt.Sprintf("%d-%d", n, i)); runs > maxAttempts {
+				t.Errorf("a read at instance %d ran %d times, %d allowed", i, runs, maxAttempts)
+			}
+		}
+	}
+}
+
 // Guards against a stop that cuts off a request that another instance has sent, or that goes
 // on accepting such requests.
 func TestStopFinishesRelayedRequests(t *testing.T) {
