--- a/pkg/meter/budget_test.go
+++ b/pkg/meter/budget_test.go
@@ -108,8 +108,10 @@
 	retriesInTick  = 1
 )
 
-// zone simulates the instances of one zone, which is the whole fleet, and their reports.
+// zone simulates the instances of one zone, and their reports.
 type zone struct {
+	// share is the zone's part of the fleet.
+	share     meter.Zones
 	members   []instance.Info
 	startedAt map[instance.Address]time.Duration
 	budgets   map[instance.Address]*meter.Budget
@@ -117,17 +119,19 @@
 	grants []time.Duration
 }
 
-func newZone() *zone {
+// newZone returns a zone of some members.
+func newZone(name string, size int, share meter.Zones) *zone {
 	z := &zone{
+		share:     share,
 		startedAt: map[instance.Address]time.Duration{},
 		budgets:   map[instance.Address]*meter.Budget{},
 	}
-	for i := range zoneSize {
+	for i := range size {
 		z.members = append(z.members, instance.Info{
 			ID: instance.ID{
-				Address: instance.Address(fmt.Sprintf("10.0.0.%d:7000", i)),
+				Address: instance.Address(fmt.Sprintf("%s-%d:7000", name, i)),
 			},
-			Zone: "a",
+			Zone: name,
 		})
 		z.start(0, i)
 	}
@@ -158,21 +162,28 @@
 
 // step sends requests, asks for retries, and lets the members report.
 func (z *zone) step(now time.Duration) {
-	zones := meter.Zones{
-		Fraction: 1,
-		Count:    1,
+	begun := requestsInTick
+	for range retriesInTick {
+		z.take(now, begun)
+		begun = 0
 	}
-	keeper := z.budgets[z.keeper(now)]
-	begun := meter.Begun{
-		Requests: requestsInTick,
+	z.reportIfDue(now)
+}
+
+// take asks the zone's keeper for a retry, and tells it of requests begun in this tick.
+func (z *zone) take(now time.Duration, begun int) bool {
+	granted := z.budgets[z.keeper(now)].Take(now, "desk", meter.Begun{
+		Requests: begun,
 		Over:     zoneTick,
+	}, z.share).Granted
+	if granted {
+		z.grants = append(z.grants, now)
 	}
-	for range retriesInTick {
-		if keeper.Take(now, "desk", begun, zones).Granted {
-			z.grants = append(z.grants, now)
-		}
-		begun = meter.Begun{}
-	}
+	return granted
+}
+
+// reportIfDue lets the members report if it is time.
+func (z *zone) reportIfDue(now time.Duration) {
 	if now%reportPeriod == 0 {
 		z.report(now)
 	}
@@ -196,10 +207,13 @@
 }
 
 // mostInSpan returns the most retries that were granted within any span.
-func (z *zone) mostInSpan() int {
+func (z *zone) mostInSpan() int { return mostWithin(z.grants, zoneSpan) }
+
+// mostWithin returns the most of these times, in order, that lie within any span.
+func mostWithin(times []time.Duration, span time.Duration) int {
 	most, from := 0, 0
-	for i, at := range z.grants {
-		for z.grants[from] <= at-zoneSpan {
+	for i, at := range times {
+		for times[from] <= at-span {
 			from++
 		}
 		most = max(most, i-from+1)
@@ -267,7 +281,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			z := newZone()
+			z := newZone("a", zoneSize, meter.Zones{
+				Fraction: 1,
+				Count:    1,
+			})
 			for now := zoneTick; now < 60*time.Second; now += zoneTick {
 				for _, member := range tt.restarted(z, now) {
 					z.start(now, member)
--- a/pkg/meter/lenders_test.go
+++ b/pkg/meter/lenders_test.go
@@ -1,6 +1,9 @@
 package meter_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +150,143 @@
 	is.True(z.refused > 0)
 	is.True(z.refused <= 2*2*10) // two zones, twice a second
 }
+
+// lendingFleet simulates zones that lend each other retries while their keepers change.
+type lendingFleet struct {
+	zones   []*zone
+	lenders []*meter.Lenders
+	// cutOff are the zones that no other reaches.
+	cutOff []bool
+	random *rand.Rand
+	// retries are the times of those that were made.
+	retries []time.Duration
+}
+
+func newLendingFleet(seed uint64, zones, size int) *lendingFleet {
+	f := &lendingFleet{
+		cutOff: make([]bool, zones),
+		random: rand.New(rand.NewPCG(seed, 0)),
+	}
+	for i := range zones {
+		f.zones = append(f.zones, newZone(fmt.Sprintf("zone%d", i), size, meter.Zones{
+			Fraction: 1 / float64(zones),
+			Count:    zones,
+		}))
+		f.lenders = append(f.lenders, meter.NewLenders())
+	}
+	return f
+}
+
+// retry asks for a retry in a zone: its own keeper, then those of other zones. An answer may
+// come too late; then the next one is asked.
+func (f *lendingFleet) retry(now time.Duration, z, begun int, late float64) {
+	if f.zones[z].take(now, begun) && f.random.Float64() >= late {
+		f.retries = append(f.retries, now)
+		return
+	}
+	var others []string
+	for i := range f.zones {
+		if i != z {
+			others = append(others, fmt.Sprint(i))
+		}
+	}
+	for range meter.MaxLenders {
+		lender, ok := f.lenders[z].Choose(now, "desk", others)
+		if !ok {
+			return
+		}
+		i := slices.IndexFunc(f.zones, func(other *zone) bool { return other.members[0].Zone == "zone"+lender })
+		reached := !f.cutOff[z] && !f.cutOff[i]
+		if reached && f.zones[i].take(now, 0) && f.random.Float64() >= late {
+			f.retries = append(f.retries, now)
+			return
+		}
+		f.lenders[z].Refused(now, "desk", lender)
+	}
+}
+
+// Load: all zones want more retries than there are, and borrow from each other. Guards against
+// zones that together grant more than the fleet may make, while keepers are restarted, a whole
+// zone is restarted or cut off, and answers of keepers come too late.
+func TestLentRetriesStayWithinTheBound(t *testing.T) {
+	const (
+		zones    = 3
+		size     = 4
+		duration = 40 * time.Second
+		seeds    = 4
+	)
+	tests := []struct {
+		name string
+		// late is the fraction of answers that come too late.
+		late   float64
+		change func(f *lendingFleet, now time.Duration)
+	}{
+		{
+			name:   "nothing changes",
+			change: func(*lendingFleet, time.Duration) {},
+		},
+		{
+			name:   "a third of the answers are late",
+			late:   1.0 / 3,
+			change: func(*lendingFleet, time.Duration) {},
+		},
+		{
+			name: "the keeper of any zone is restarted each second",
+			change: func(f *lendingFleet, now time.Duration) {
+				if now%time.Second == 0 {
+					z := f.zones[f.random.IntN(zones)]
+					z.start(now, z.indexes(z.keeper(now))[0])
+				}
+			},
+		},
+		{
+			name: "a zone is restarted whole every 4 s, also twice",
+			change: func(f *lendingFleet, now time.Duration) {
+				if now%(4*time.Second) == 0 {
+					z := f.zones[f.random.IntN(zones)]
+					for i := range z.members {
+						z.start(now, i)
+					}
+				}
+			},
+		},
+		{
+			name: "zones are cut off and back, all are restarted once",
+			late: 0.1,
+			change: func(f *lendingFleet, now time.Duration) {
+				if now%(2*time.Second) == 0 {
+					f.cutOff[f.random.IntN(zones)] = f.random.IntN(2) == 0
+				}
+				if now == 20*time.Second {
+					for _, z := range f.zones {
+						for i := range z.members {
+							z.start(now, i)
+						}
+					}
+				}
+			},
+		},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprint(tt.name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newLendingFleet(seed, zones, size)
+				for now := zoneTick; now < duration; now += zoneTick {
+					tt.change(f, now)
+					for i, z := range f.zones {
+						f.retry(now, i, requestsInTick, tt.late)
+						f.retry(now, i, 0, tt.late)
+						z.reportIfDue(now)
+					}
+				}
+				bound := zoneRatio*zones*requestsInTick*float64(zoneSpan/zoneTick) + zoneBase
+				most := mostWithin(f.retries, zoneSpan)
+				t.Logf("at most %d of %.0f", most, bound)
+				is.True(float64(most) <= bound)
+				is.True(most > 0)
+			})
+		}
+	}
+}
