Ignore odd entries among those of targets and instances

Report of another operator: one odd entry (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. Here no process ended.

--- a/internal/daemon/list.go
+++ b/internal/daemon/list.go
@@ -34,7 +34,11 @@
 
 // readList reads the instance list once. A failed reading is only logged.
 func (d *Daemon) readList(ctx context.Context) {
-	entries, err := d.list.Entries(ctx)
+	entries, odd, err := d.list.Entries(ctx)
+	for _, err := range odd {
+		d.logger.Debug("invalid entry of the instance list ignored",
+			"Error", err)
+	}
 	if err != nil {
 		d.logger.Debug("failed to read the instance list",
 			"Error", err)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -139,6 +139,10 @@
 
 // decodeMember returns the member that is registered under a key.
 func decodeMember(e store.Entry) (member, error) {
+	address := instance.Address(strings.TrimPrefix(e.Key, memberPrefix))
+	if !address.IsValid() {
+		return member{}, errors.Errorf("address %.60q", address)
+	}
 	var v memberValue
 	if err := json.Unmarshal(e.Value, &v); err != nil {
 		return member{}, errors.Wrap(err, "decode member")
@@ -146,7 +150,7 @@
 	return member{
 		Info: instance.Info{
 			ID: instance.ID{
-				Address:     instance.Address(strings.TrimPrefix(e.Key, memberPrefix)),
+				Address:     address,
 				Incarnation: v.Incarnation,
 			},
 			Zone: v.Zone,
--- a/internal/list/client.go
+++ b/internal/list/client.go
@@ -60,12 +60,12 @@
 	c.http.CloseIdleConnections()
 }
 
-// Entries returns the entries of the list. Errors wrap ErrUnavailable or
-// ErrMalformed.
-func (c *Client) Entries(ctx context.Context) ([]Entry, error) {
+// Entries returns the entries of the list, and errors about those that are left out because
+// they can't be that of an instance. Errors wrap ErrUnavailable or ErrMalformed.
+func (c *Client) Entries(ctx context.Context) (entries []Entry, odd []error, err error) {
 	content, err := c.do(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	return Decode(content)
 }
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -61,24 +61,26 @@
 	return content, nil
 }
 
-// Decode decodes a list from JSON. The error wraps ErrMalformed.
-func Decode(content []byte) ([]Entry, error) {
-	var wire wireList
-	if err := json.Unmarshal(content, &wire); err != nil {
-		return nil, errors.Wrap(ErrMalformed, err.Error())
+// Decode decodes a list from JSON. An entry that can't be that of an instance is left out and
+// returned as an error among odd; the others count. Errors wrap ErrMalformed.
+func Decode(content []byte) (entries []Entry, odd []error, err error) {
+	var raw struct{ Instances []json.RawMessage }
+	if err := json.Unmarshal(content, &raw); err != nil {
+		return nil, nil, errors.Wrap(ErrMalformed, err.Error())
 	}
-	if len(wire.Instances) > maxEntries {
-		return nil, errors.Wrapf(ErrMalformed, "%d entries, at most %d are allowed", len(wire.Instances), maxEntries)
+	if len(raw.Instances) > maxEntries {
+		return nil, nil, errors.Wrapf(ErrMalformed, "%d entries, at most %d are allowed", len(raw.Instances), maxEntries)
 	}
-	entries := make([]Entry, len(wire.Instances))
-	for i, w := range wire.Instances {
-		e, err := fromWire(w)
+	entries = []Entry{}
+	for _, one := range raw.Instances {
+		e, err := DecodeEntry(one)
 		if err != nil {
-			return nil, err
+			odd = append(odd, err)
+			continue
 		}
-		entries[i] = e
+		entries = append(entries, e)
 	}
-	return entries, nil
+	return entries, odd, nil
 }
 
 // EncodeEntry encodes one entry as JSON, the body of a registration. The error
@@ -116,11 +118,11 @@
 }
 
 func fromWire(w wireEntry) (Entry, error) {
-	if w.Address == "" {
-		return Entry{}, errors.Wrap(ErrMalformed, "an instance has no address")
+	if !instance.Address(w.Address).IsValid() {
+		return Entry{}, errors.Wrapf(ErrMalformed, "address %.60q of an instance", w.Address)
 	}
 	if w.State != stateLive && w.State != stateLeaving {
-		return Entry{}, errors.Wrapf(ErrMalformed, "instance %s: state %q is neither live nor leaving", w.Address, w.State)
+		return Entry{}, errors.Wrapf(ErrMalformed, "instance %s: state %.60q is neither live nor leaving", w.Address, w.State)
 	}
 	return Entry{
 		Info: instance.Info{
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,12 @@
 // and is unique in the fleet at any one time.
 type Address string
 
+// IsValid reports whether a is the address of one host, as an IP, and a port from 1 to 65535.
+func (a Address) IsValid() bool {
+	parsed, err := netip.ParseAddrPort(string(a))
+	return err == nil && parsed.Port() > 0 && !parsed.Addr().IsUnspecified() && !parsed.Addr().IsMulticast()
+}
+
 // ID identifies one run of an instance.
 type ID struct {
 	// Address is the address on which the run listens for its peers.
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -44,3 +44,33 @@
 		is.True(n > 800 && n < 1250) // 1,024 expected
 	}
 }
+
+// Guards against entries of other writers that are taken for the address of an instance or
+// target.
+func TestAddressIsValid(t *testing.T) {
+	tests := []struct {
+		address instance.Address
+		want    bool
+	}{
+		{"10.0.0.1:1", true},
+		{"127.0.0.1:65535", true},
+		{"[2001:db8::1]:7000", true},
+		{"10.0.0.1:0", false},
+		{"10.0.0.1:-1", false},
+		{"10.0.0.1:+1", false},
+		{"10.0.0.1:65536", false},
+		{"10.0.0.1:99999999999999999999", false},
+		{"10.0.0.1", false},
+		{":7000", false},
+		{"0.0.0.0:7000", false},
+		{"[::]:7000", false},
+		{"224.0.0.1:7000", false},
+		{"localhost:7000", false},
+		{"", false},
+	}
+	for _, tt := range tests {
+		if got := tt.address.IsValid(); got != tt.want {
+			t.Errorf("%q: %v, want %v", tt.address, got, tt.want)
+		}
+	}
+}
