Take a refusal as proof only if it is the request's own

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection. What callers saw here: reads that a target was running were answered 'not run', directly and through other instances, when the refusal came without the request's id, or without the mark that says that it has not run (statuses 408, 429, 503 and 421). Writes weren't affected: they use connections of their own. Why this works: a refusal on a connection that has served an earlier request must echo the id, and where callers conclude from a status that their request has not run, an answer with it must be marked. Others are faulty answers, after which it isn't known whether the request has run.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -56,7 +56,7 @@
 		closeConn: r.CloseConn,
 		release:   p.release,
 	}
-	if reason := a.rejectReason(p.id); reason != "" {
+	if reason := a.rejectReason(p.id, r.Reused); reason != "" {
 		a.finish(target.Truncated)
 		return failedAttempt{
 			outcome:    target.Truncated,
@@ -120,15 +120,22 @@
 }
 
 // rejectReason returns the reason why the answer can't be relayed to the caller, or
-// an empty string if it can. The id is that of the attempt.
-func (a *answer) rejectReason(id string) string {
+// an empty string if it can. The id is that of the attempt, and reused says that its connection
+// had served an earlier one.
+func (a *answer) rejectReason(id string, reused bool) string {
 	d := a.exchange.handler.dialect
 	echoes := a.response.Header.Values(d.RequestIDHeader)
+	shed := d.isShed(a.response)
 	switch {
 	case len(echoes) > 1:
 		return "answer-crossed"
 	case len(echoes) == 1 && echoes[0] != id:
 		return "answer-crossed"
+	case shed && reused && len(echoes) == 0:
+		// It may be the refusal of an earlier request, sent once more.
+		return "refusal-without-id"
+	case !shed && d.StatusImpliesNotRun && impliesNotRun(a.response.StatusCode):
+		return "refusal-unmarked"
 	case d.SignatureHeader != "" && a.response.StatusCode < 300 && a.response.Header.Get(d.SignatureHeader) == "":
 		return "answer-unsigned"
 	case a.exchange.request.Method == http.MethodHead:
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -111,15 +111,21 @@
 // from some statuses that the request has not run, a request that may have run gets
 // 502 instead of these.
 func (r *Refusal) statusFor(d Dialect) int {
-	if !d.StatusImpliesNotRun || !r.MayHaveRun {
-		return r.Status
+	if d.StatusImpliesNotRun && r.MayHaveRun && impliesNotRun(r.Status) {
+		return http.StatusBadGateway
 	}
-	switch r.Status {
+	return r.Status
+}
+
+// impliesNotRun reports whether callers may conclude from a status that their request has not
+// run; see Dialect.StatusImpliesNotRun.
+func impliesNotRun(status int) bool {
+	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
 		http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return http.StatusBadGateway
+		return true
 	}
-	return r.Status
+	return false
 }
 
 // retryAfter formats a wait as the value of Retry-After, rounded up to whole
--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -334,8 +334,23 @@
 	e.publish()
 }
 
+// newHandler returns the handler of an instance without links, or of one with links.
+func (e *relayEnv) newHandler(withoutLinks bool, options ...entry.Option) *entry.Handler {
+	deps := entry.Dependencies{
+		Snapshots:  e,
+		Admission:  e.admission,
+		Claims:     e.claims,
+		Dispatcher: e,
+		Quarantine: e.quarantine,
+	}
+	if withoutLinks {
+		deps.Relays = e.relays
+	}
+	return entry.New(deps, options...)
+}
+
 // newHelper returns the handler for relayed requests of another instance.
-func (e *relayEnv) newHelper() http.HandlerFunc {
+func (e *relayEnv) newHelper(options ...entry.Option) http.HandlerFunc {
 	return entry.New(entry.Dependencies{
 		Snapshots:  e,
 		Admission:  e.helperAdmission,
@@ -343,7 +358,7 @@
 		Dispatcher: e,
 		Quarantine: e.quarantine,
 		Relays:     directRelays{},
-	}).ServeRelayed
+	}, options...).ServeRelayed
 }
 
 // arrivals returns how many requests have reached the targets.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -118,6 +118,8 @@
 type Answered struct {
 	// Response is the target's response. The caller reads and closes its body.
 	Response *http.Response
+	// Reused is as in Error.
+	Reused bool
 	// CloseConn closes the connection, so that bytes still in flight on it can't
 	// be taken for the response to a later request.
 	CloseConn func()
@@ -236,6 +238,7 @@
 	}
 	return Answered{
 		Response:  response,
+		Reused:    s.reused,
 		CloseConn: s.closeConn,
 	}
 }
