Take one more request after an answer that leaves the connection open

What callers saw: a stop that came between the end of an answer and the end of its request closed the connection although the answer didn't say so, and the next request got no answer (LOST). Cause: Leave sealed the queue of each connection that had a request, also if that had told its caller that the connection stays open. TestStopAfterAnAnswerTakesOneMoreRequest, whose handler returns late, failed before. Why this works: such a connection ends with its next answer, as one without requests does.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -235,6 +235,7 @@
 		return
 	}
 	x := c.exchanges[len(c.exchanges)-1]
+	x.started = true
 	x.arrival.Ahead = len(c.exchanges) - 1
 	if x.arrival.Ahead > 0 {
 		c.server.ahead.Inc(1)
@@ -376,9 +377,10 @@
 
 // endsAfter reports whether the connection closes after the answer to x, which is about to
 // be written. close says that this answer or its request asks for it.
-func (c *conn) endsAfter(close bool) bool {
+func (c *conn) endsAfter(x *exchange, close bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.begun = true
 	if close || c.leaving {
 		c.queue.Drop()
 		c.dropExchanges()
@@ -393,13 +395,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
-	if c.queue.Len() > 0 {
+	if c.queue.Len() > 0 && !c.staysOpen() {
 		c.queue.Drop()
 		c.dropExchanges()
 		c.notify()
 	}
 }
 
+// staysOpen reports whether the answer to the last request that was started has told the caller
+// that the connection stays open. Then the next answer ends it. The caller holds mu.
+func (c *conn) staysOpen() bool {
+	for _, x := range slices.Backward(c.exchanges) {
+		if x.started {
+			return x.begun && !c.queue.Sealed()
+		}
+	}
+	return false
+}
+
 // setReady records that the answer to a request waits for its turn.
 func (c *conn) setReady(x *exchange) {
 	c.mu.Lock()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -54,8 +54,11 @@
 	body *body
 	// rejected is the status of a request that isn't given to the handler.
 	rejected int
-	// ended is set once the answer has been written or given up. It is guarded by conn.mu.
-	ended bool
+	// started is set once the request runs, begun once the head of its answer is written, and
+	// ended once the answer has been written or given up. They are guarded by conn.mu.
+	started bool
+	begun   bool
+	ended   bool
 }
 
 // newExchange returns the exchange of a request, whose body has not been read.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -499,6 +500,62 @@
 	is.True(err != nil)
 }
 
+// slowEnd is a Handler that returns only some time after its whole answer has been sent.
+type slowEnd struct {
+	started chan struct{}
+	returns chan struct{}
+}
+
+// Independent implements ingress.Handler.
+func (h *slowEnd) Independent(*http.Request) bool { return true }
+
+// ServeHTTP implements http.Handler.
+func (h *slowEnd) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.started <- struct{}{}
+	w.Header().Set("Content-Length", strconv.Itoa(len(r.URL.Path)))
+	_, _ = io.WriteString(w, r.URL.Path)
+	_ = http.NewResponseController(w).Flush()
+	<-h.returns
+}
+
+// Guards against a stop between the end of an answer and the end of its request, which closes
+// the connection although the answer says that it stays open: the caller's next request, or one
+// that it has already sent, would be lost.
+func TestStopAfterAnAnswerTakesOneMoreRequest(t *testing.T) {
+	for _, pipelined := range []bool{false, true} {
+		t.Run(fmt.Sprintf("pipelined %v", pipelined), func(t *testing.T) {
+			is := is.New(t)
+			h := &slowEnd{
+				started: make(chan struct{}, 2),
+				returns: make(chan struct{}, 2),
+			}
+			s := serve(t, h)
+			c := s.dial()
+			c.send(get("/1"))
+			r := c.receive()
+			is.Equal(r.body, "/1")
+			is.True(!r.closes)
+			<-h.started
+			if pipelined {
+				c.send(get("/2"))
+				<-h.started // the second runs ahead, and its answer waits
+			}
+			s.Leave()
+			h.returns <- struct{}{}
+			if !pipelined {
+				c.send(get("/2"))
+			}
+			r = c.receive()
+			is.Equal(r.body, "/2")
+			is.True(r.closes)
+			h.returns <- struct{}{}
+			_, err := c.reader.ReadByte()
+			is.Equal(err, io.EOF)
+			_ = c.Close()
+		})
+	}
+}
+
 // Guards against an answer of a target that a stop loses because it waits for an earlier one
 // that doesn't come.
 func TestStopDeliversAnswersBehindOneThatIsNotReady(t *testing.T) {
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -192,7 +192,7 @@
 	if b := w.exchange.body; b != nil && !b.discard() {
 		asksToClose = true
 	}
-	closes := w.exchange.conn.endsAfter(asksToClose)
+	closes := w.exchange.conn.endsAfter(w.exchange, asksToClose)
 	w.header.Del("Connection")
 	switch {
 	case closes && r.ProtoAtLeast(1, 1):
