Start with fewer units of each rate in a running fleet

Cause: the organisation had just spent a full burst when the keeper of its rate and the next in the zone were killed and started at the same moment. Each took itself for the keeper, with 30% of the burst and filled at the highest rate that the tolerance allows; room was left for one. Evidence: TestRateHoldsWhenTheKeeperAndTheNextStartAgain failed in 8 of 24 cases (550 of 548 at this rate and downtime). Why this works: an instance that starts where others had been running holds 8% of a burst in new buckets and fills them at the rate itself for one span, since what its predecessors granted isn't known. A fleet that starts anew is as before.

--- a/internal/gateway/keeper_internal_test.go
+++ b/internal/gateway/keeper_internal_test.go
@@ -10,7 +10,10 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionmux/internal/boot"
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
 )
 
 // Guards against requests that count twice for the retry budget because the keeper was
@@ -112,3 +115,67 @@
 	}
 	is.Equal(g.keeper(targetLimit, name), keeper) // nobody stands in for it
 }
+
+// Guards against an instance that starts again in a running fleet with as many units as one of
+// a fleet that starts.
+func TestInstanceThatStartsAgainHoldsFewerUnits(t *testing.T) {
+	const startedAt = 1_765_000_000_000_000_000
+	tests := []struct {
+		name string
+		// age is how long before this instance the other one has started.
+		age   time.Duration
+		level float64
+	}{
+		{
+			name:  "the fleet starts",
+			age:   time.Second,
+			level: 30,
+		},
+		{
+			name:  "the other one has been running",
+			age:   time.Minute,
+			level: 8,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := &Gateway{
+				registry: metrics.NewRegistry(),
+				logger:   slog.New(slog.DiscardHandler),
+				settings: Settings{
+					RateTolerance: meter.Tolerance{
+						Ratio: 0.1,
+						Units: 20,
+						Span:  5 * time.Second,
+					},
+				},
+				self: instance.Info{
+					ID: instance.ID{
+						Address:     "10.0.0.1:7000",
+						Incarnation: startedAt,
+					},
+				},
+			}
+			g.state = newLocalState(g)
+			g.state.members["10.0.0.2:7000"] = member{
+				Info: instance.Info{
+					ID: instance.ID{
+						Address:     "10.0.0.2:7000",
+						Incarnation: startedAt - uint64(tt.age),
+					},
+				},
+			}
+			g.state.rebuildRoster()
+			decision := g.state.rates.Take(boot.Now(), document.Rate{
+				Organisation: "orchard",
+				PerSecond:    100,
+				Burst:        100,
+			}, 1, meter.FleetKeeper, meter.Zones{
+				Fraction: 1,
+				Count:    1,
+			})
+			is.Equal(decision.Level, tt.level)
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -418,6 +418,18 @@
 	}
 	st.roster = roster.New(st.gateway.self, list)
 	st.source.SetMembers(zone)
+	if st.joinsRunningFleet(list) {
+		st.rates.JoinRunningFleet(st.startedAt)
+	}
+}
+
+// joinsRunningFleet reports whether one of the members had been running, for longer than rates
+// are counted, when this instance started. Incarnations are times in nanoseconds.
+func (st *localState) joinsRunningFleet(members []instance.Info) bool {
+	span := uint64(st.gateway.settings.RateTolerance.Span)
+	return slices.ContainsFunc(members, func(m instance.Info) bool {
+		return m.Incarnation > 0 && m.Incarnation+span < st.gateway.self.Incarnation
+	})
 }
 
 // updateTables updates the services' target tables from the registered targets.
--- a/pkg/meter/rates.go
+++ b/pkg/meter/rates.go
@@ -37,6 +37,10 @@
 	// initialBurstPercent of the burst is in a new bucket: a restarted instance
 	// doesn't know what its predecessor granted.
 	initialBurstPercent = 30
+	// restartBurstPercent is in the new buckets of an instance that has started lately among
+	// others that had been running. Several may have started at the same moment, each taking
+	// itself for the keeper until it knows the others.
+	restartBurstPercent = 8
 	// minInitialUnits is the least number of units that the new buckets of three zones
 	// hold together: each holds at least one.
 	minInitialUnits = 3
@@ -60,6 +64,9 @@
 	zone      string
 	tolerance Tolerance
 	buckets   map[string]*bucket
+	// restartedUntil is until when new buckets hold restartBurstPercent, and none is filled
+	// faster than the rate: what predecessors have granted in this span isn't known.
+	restartedUntil time.Duration
 }
 
 // Tolerance bounds what the fleet may grant beyond an organisation's rate. Let A be
@@ -206,6 +213,11 @@
 	}
 }
 
+// JoinRunningFleet says that this instance has started at a time when others had been running.
+func (r *Rates) JoinRunningFleet(startedAt time.Duration) {
+	r.restartedUntil = startedAt + r.tolerance.Span
+}
+
 // Take takes the cost of a request from its organisation's rate, if there is enough.
 func (r *Rates) Take(now time.Duration, rate document.Rate, cost int, role Role, zones Zones) Decision {
 	b := r.bucket(now, rate, role, zones)
@@ -235,9 +247,13 @@
 		if role == FleetKeeper {
 			part = 1
 		}
+		percent := initialBurstPercent
+		if now < r.restartedUntil {
+			percent = restartBurstPercent
+		}
 		b = &bucket{
 			tokens: tokens{
-				level:    max(float64(rate.Burst)*part*initialBurstPercent/100, 1),
+				level:    max(float64(rate.Burst)*part*float64(percent)/100, 1),
 				filledAt: now,
 			},
 			demand:   NewWindow(demandSpan),
@@ -279,6 +295,9 @@
 func (r *Rates) fill(b *bucket, now time.Duration, rate document.Rate, zones Zones) float64 {
 	part := b.fraction(now, zones)
 	perSecond := r.tolerance.fillRate(rate) * part
+	if now < r.restartedUntil {
+		perSecond = rate.PerSecond * part
+	}
 	b.fill(now, perSecond, max(float64(rate.Burst)*part, 1))
 	return perSecond
 }
--- a/pkg/meter/rates_test.go
+++ b/pkg/meter/rates_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -178,6 +179,66 @@
 	}
 }
 
+// Load: an organisation that has used half of its rate asks several times as much. Some seconds later
+// the keeper of the rate and the next instance in its zone are killed and start again at the same
+// moment. Until they know each
+// other, each is asked as the keeper. Guards against new
+// buckets that together exceed the tolerance.
+func TestRateHoldsWhenTheKeeperAndTheNextStartAgain(t *testing.T) {
+	const (
+		killedAt     = 8 * time.Second
+		risesAt      = killedAt - 3*time.Second
+		disagreement = 250 * time.Millisecond
+	)
+	for _, downtime := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second} {
+		for _, perSecond := range []float64{5, 10, 20, 30, 48, 60, 80, 120} {
+			t.Run(fmt.Sprint(perSecond, " a second, back after ", downtime), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(someRate(perSecond))
+				keeper := 0
+				f.keeper = &keeper
+				startedAt := killedAt + downtime
+				restart := func() *meter.Rates {
+					r := meter.NewRates(names[0], tolerance)
+					r.JoinRunningFleet(startedAt)
+					return r
+				}
+				var next *meter.Rates
+				usual := 0.0
+				for now := time.Second; now < 16*time.Second; now += 10 * time.Millisecond {
+					down := now >= killedAt && now < startedAt
+					if now == startedAt {
+						f.zones[0], next = restart(), restart()
+					}
+					wanted := 8
+					if now < risesAt {
+						wanted = 0
+						if usual += perSecond / 2 * 0.01; usual >= 1 {
+							usual--
+							wanted = 1
+						}
+					}
+					for range wanted {
+						if !down {
+							f.take(now, 0)
+						}
+						if now >= startedAt && now < startedAt+disagreement {
+							if next.Take(now, f.rate, 1, meter.FleetKeeper, f.zonesSeenBy(0)).Granted {
+								f.granted = append(f.granted, now)
+							}
+						}
+					}
+					if !down && now%meter.LoanRequestPeriod == 0 {
+						f.requestLoans(now, 0)
+					}
+				}
+				t.Logf("%d in a span, %.1f allowed", f.maxPerSpan(), bound(f.rate))
+				is.True(float64(f.maxPerSpan()) <= bound(f.rate))
+			})
+		}
+	}
+}
+
 // An organisation goes over its rate in all zones at once, between two loan
 // requests, which the zones don't send at the same time. Soon after, instances that
 // were cut off come back, and other instances become the keepers.
