Send further attempts through other instances than the first

A read whose attempt through an instance was overdue went through the same one again: the choice depends on the request's id alone. Instances that were tried come last now. A refusal that says that the request may have run counts as sent also if the other instance doesn't count it.

--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -227,6 +227,8 @@
 	Route   *document.Route
 	// Relayed is set if another instance sent the request here. It is not sent on.
 	Relayed bool
+	// Tried are the instances through which earlier attempts went. Others are preferred.
+	Tried []instance.Address
 }
 
 // Relay is a place for one attempt through another instance.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -14,6 +14,7 @@
 
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/instance"
 )
 
 // exchange is the state of one request and its answer.
@@ -59,8 +60,9 @@
 	relayed *relayedRequest
 	// leavingTarget is the target that answered, if it has announced that it is leaving.
 	leavingTarget string
-	// relays counts the other instances to which the request was sent.
-	relays int
+	// relays counts the attempts through other instances, and triedInstances are these.
+	relays         int
+	triedInstances []instance.Address
 	// grantSpent is set once the grant has been spent.
 	grantSpent bool
 	// mayHaveRun is set unless it is certain that no target ran the request.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -67,6 +67,7 @@
 		Service: x.service,
 		Route:   x.route,
 		Relayed: x.relayed != nil,
+		Tried:   x.triedInstances,
 	})
 }
 
@@ -82,6 +83,7 @@
 		return nil, unsentFailure(err)
 	}
 	x.relays++
+	x.triedInstances = append(x.triedInstances, relay.Instance())
 	x.handler.metrics.count("Relay.Sent")
 	x.logRelay(relay, n)
 	a := &relayAttempt{
@@ -325,6 +327,9 @@
 		targets: result.targets,
 		counted: true,
 	}
+	if refusal.MayHaveRun {
+		attempts.sent = max(attempts.sent, relayShare)
+	}
 	return failedAttempt{
 		outcome:    a.refusedOutcome(refusal, attempts.sent),
 		mayHaveRun: refusal.MayHaveRun,
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -77,8 +77,11 @@
 func (st *localState) chooseHelper(r *relay, request entry.RelayRequest, requestID string) bool {
 	members := slices.DeleteFunc(slices.Clone(st.roster.Members()), func(m instance.Info) bool { return st.unresponsive(m.Address) })
 	key := instance.Hash("relay", xxhash.Sum64String(requestID))
+	untried := slices.DeleteFunc(slices.Clone(members), func(m instance.Info) bool { return slices.Contains(request.Tried, m.Address) })
 	var found bool
-	r.instance, found = st.helpers.Choose(boot.Now(), st.gateway.self, members, request.Service, key)
+	if r.instance, found = st.helpers.Choose(boot.Now(), st.gateway.self, untried, request.Service, key); !found {
+		r.instance, found = st.helpers.Choose(boot.Now(), st.gateway.self, members, request.Service, key)
+	}
 	if s := st.services[request.Service]; s != nil {
 		now := boot.Now()
 		r.overdueAfter = s.latencies.OverdueAfter(request.Route.Name, request.Route.Objective, s.retriesAreScarce(now)) + relayOverdueSlack
