--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -56,7 +56,7 @@
 					e.document.Services[0].Targets[0].Address = address
 					e.allowAttempts(1)
 					e.addHelper(e.newHelper(entry.WithDialect(statusDialect())))
-					s := serveCallers(t, e.newHandler(relayed, entry.WithDialect(statusDialect())))
+					s := serveCallers(t, e.newHandler(e.relaysIf(relayed), entry.WithDialect(statusDialect())))
 					for end := range len(tt.head) - 1 {
 						mu.Lock()
 						cut = tt.head[:end]
--- a/internal/entry/race_test.go
+++ b/internal/entry/race_test.go
@@ -157,14 +157,7 @@
 		fakeRelays: e.relays,
 		lostAt:     time.Now().Add(100 * time.Millisecond),
 	}
-	s := serveCallers(t, entry.New(entry.Dependencies{
-		Snapshots:  e,
-		Admission:  e.admission,
-		Claims:     e.claims,
-		Dispatcher: e,
-		Quarantine: e.quarantine,
-		Relays:     links,
-	}))
+	s := serveCallers(t, e.newHandler(links))
 	for _, target := range e.targets {
 		target.SetFaults(standin.TargetFaults{Hang: true})
 	}
@@ -196,16 +189,9 @@
 				granted: true,
 			}
 			e.relays.overdue = relayOverdue
-			s := serveCallers(t, entry.New(entry.Dependencies{
-				Snapshots:  e,
-				Admission:  e.admission,
-				Claims:     e.claims,
-				Dispatcher: e,
-				Quarantine: e.quarantine,
-				Relays: lostLinks{
-					fakeRelays: e.relays,
-					lostAt:     time.Now().Add(attemptOverdue / 2),
-				},
+			s := serveCallers(t, e.newHandler(lostLinks{
+				fakeRelays: e.relays,
+				lostAt:     time.Now().Add(attemptOverdue / 2),
 			}))
 			for _, target := range e.targets {
 				target.SetFaults(standin.TargetFaults{Hang: true})
--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -334,19 +334,24 @@
 	e.publish()
 }
 
-// newHandler returns the handler of an instance without links, or of one with links.
-func (e *relayEnv) newHandler(withoutLinks bool, options ...entry.Option) *entry.Handler {
-	deps := entry.Dependencies{
+// newHandler returns the handler of an instance with some relays, or none if they are nil.
+func (e *relayEnv) newHandler(relays entry.Relays, options ...entry.Option) *entry.Handler {
+	return entry.New(entry.Dependencies{
 		Snapshots:  e,
 		Admission:  e.admission,
 		Claims:     e.claims,
 		Dispatcher: e,
 		Quarantine: e.quarantine,
+		Relays:     relays,
+	}, options...)
+}
+
+// relaysIf returns the relays of an instance without links, or nil for one with links.
+func (e *relayEnv) relaysIf(withoutLinks bool) entry.Relays {
+	if !withoutLinks {
+		return nil
 	}
-	if withoutLinks {
-		deps.Relays = e.relays
-	}
-	return entry.New(deps, options...)
+	return e.relays
 }
 
 // newHelper returns the handler for relayed requests of another instance.
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -41,24 +41,9 @@
 		helperAdmission: &fakeAdmission{},
 	}
 	for range helpers {
-		helper := entry.New(entry.Dependencies{
-			Snapshots:  e,
-			Admission:  e.helperAdmission,
-			Claims:     e.claims,
-			Dispatcher: e,
-			Quarantine: e.quarantine,
-			Relays:     directRelays{},
-		})
-		e.addHelper(helper.ServeRelayed)
+		e.addHelper(e.newHelper())
 	}
-	e.callers = httptest.NewServer(entry.New(entry.Dependencies{
-		Snapshots:  e,
-		Admission:  e.admission,
-		Claims:     e.claims,
-		Dispatcher: e,
-		Quarantine: e.quarantine,
-		Relays:     e.relays,
-	}))
+	e.callers = httptest.NewServer(e.newHandler(e.relays))
 	t.Cleanup(e.callers.Close)
 	return e
 }
--- a/internal/entry/repeated_refusal_test.go
+++ b/internal/entry/repeated_refusal_test.go
@@ -213,7 +213,7 @@
 					}
 					e.publish()
 					e.addHelper(e.newHelper(entry.WithDialect(dialect)))
-					s := serveCallers(t, e.newHandler(strings.HasPrefix(way, "relayed"), entry.WithDialect(dialect)))
+					s := serveCallers(t, e.newHandler(e.relaysIf(strings.HasPrefix(way, "relayed")), entry.WithDialect(dialect)))
 					method := http.MethodGet
 					if strings.HasSuffix(way, "write") {
 						method = http.MethodPost
--- a/internal/entry/second_answer_test.go
+++ b/internal/entry/second_answer_test.go
@@ -25,26 +25,7 @@
 	reused atomic.Int64
 }
 
-// start serves and returns the address.
-func (s *repeatingTarget) start(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (s *repeatingTarget) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	buffer := bufio.NewReader(c)
 	second := ""
 	for {
@@ -86,7 +67,7 @@
 			t.Run(tt.name+" "+method, func(t *testing.T) {
 				is := is.New(t)
 				env := newTestEnv(t, 1)
-				env.document.Services[0].Targets[0].Address = tt.target.start(t)
+				env.document.Services[0].Targets[0].Address = serveConnections(t, tt.target.serve)
 				env.publish()
 				served := 0
 				for n := range 60 {
