Review case 5: calm instances act on an old configuration while two others stand still

Disruption: node_freeze of two of 21 instances, the first two in the order in which a zone reads the store, while a route moves to another service.

--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -228,6 +228,15 @@
 	}
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
 // ready reports whether the instance says that it is ready.
 func (p *process) ready() bool {
 	client := http.Client{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 		"upload": playUpload,
 		"prefix": playPrefix,
 		"drill":  playDrill,
+		"freeze": playFreeze,
 	}
 }
 
