Log by which path a configuration came, and how old the last confirmation was

A late, an older and a missing configuration looked alike in the logs. The line 'configuration in force' now names the path (list, watch, copy and from whom) and the time since the last confirmation, which bounds how old the change can be; a counter for each path and a gauge of the latest tell the same without logs.

--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -340,7 +340,11 @@
 		return err
 	}
 	last.confirmation = c.Confirmation
-	g.state.update(func(m *mirror.Mirror) []store.Entry {
+	copied := origin{
+		Path: byCopy,
+		Peer: from,
+	}
+	g.state.update(copied, func(m *mirror.Mirror) []store.Entry {
 		changes := m.ApplyDelta(boot.Now(), c.Delta)
 		if c.Confirmed {
 			// The request arrived after it was sent, so this time is no later than that
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -85,7 +85,7 @@
 		Era:     list.Era,
 		Counter: list.Counter,
 	}
-	g.state.update(func(m *mirror.Mirror) []store.Entry {
+	g.state.update(origin{Path: byList}, func(m *mirror.Mirror) []store.Entry {
 		changes := m.ApplyList(boot.Now(), list.Entries, at)
 		m.ConfirmRead(sentAt, at)
 		return changes
@@ -223,7 +223,7 @@
 	if changes.Compacted || changes.Era != after.Era {
 		return errChangesLost
 	}
-	g.state.update(func(m *mirror.Mirror) []store.Entry {
+	g.state.update(origin{Path: byWatch}, func(m *mirror.Mirror) []store.Entry {
 		return m.ApplyChanges(changes.Entries, mirror.Position{
 			Era:     changes.Era,
 			Counter: changes.Counter,
@@ -294,7 +294,7 @@
 		return err
 	}
 	value := answer.(store.Value)
-	g.state.update(func(m *mirror.Mirror) []store.Entry {
+	g.state.update(origin{Path: byConfirmation}, func(m *mirror.Mirror) []store.Entry {
 		m.ConfirmRead(sentAt, mirror.Position{
 			Era:     value.Era,
 			Counter: value.Counter,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
@@ -55,6 +56,8 @@
 
 	mu     sync.Mutex
 	mirror *mirror.Mirror
+	// origin is that of the change of the mirror that is being applied.
+	origin origin
 	// loading is set while the first content of the store is applied.
 	loading  bool
 	targets  *target.Registry
@@ -115,6 +118,26 @@
 	lastLoadReportAt time.Duration
 }
 
+// contentPath is a way on which an instance gets the store's content.
+type contentPath string
+
+const (
+	byList         contentPath = "List"
+	byWatch        contentPath = "Watch"
+	byConfirmation contentPath = "Confirmation"
+	byCopy         contentPath = "Copy"
+)
+
+// origin tells how a change of the mirror came here.
+type origin struct {
+	Path contentPath
+	// Peer is the instance that was copied, if there was one.
+	Peer instance.Address
+	// Unconfirmed is the time since the mirror was last confirmed: a change that comes now was
+	// made at most so long ago. It is zero for the first content.
+	Unconfirmed time.Duration
+}
+
 // member is an instance, this one included, as it registered in the store.
 type member struct {
 	instance.Info
@@ -208,10 +231,10 @@
 	}
 }
 
-// update applies a change to the mirror and updates everything that is derived from it.
-// The change returns the entries that it changed.
-func (st *localState) update(change func(m *mirror.Mirror) []store.Entry) {
-	if st.applyUpdate(change) {
+// update applies a change to the mirror that came from the origin, and updates everything that
+// is derived from it. The change returns the entries that it changed.
+func (st *localState) update(from origin, change func(m *mirror.Mirror) []store.Entry) {
+	if st.applyUpdate(from, change) {
 		// Returns at once the loans of rates that this instance no longer keeps.
 		st.gateway.sendLoanRequests()
 	}
@@ -219,14 +242,18 @@
 
 // applyUpdate does the work of update while it holds mu, and reports whether members
 // were added or removed.
-func (st *localState) applyUpdate(change func(m *mirror.Mirror) []store.Entry) bool {
+func (st *localState) applyUpdate(from origin, change func(m *mirror.Mirror) []store.Entry) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := boot.Now()
+	st.origin = from
 	before := st.mirror.Position()
 	initial := st.mirror.Empty()
 	confirmedAt, confirmed := st.mirror.ConfirmedAt()
 	outage := confirmed && now-confirmedAt > outageConfirmationAge
+	if confirmed {
+		st.origin.Unconfirmed = now - confirmedAt
+	}
 	changes := change(st.mirror)
 	at := st.mirror.Position()
 	setBack := before.Counter > 0 && at.Era != before.Era
@@ -325,7 +352,12 @@
 		slog.Uint64("Revision", d.Revision),
 		slog.Int64("Counter", e.Version),
 		slog.Int("Routes", len(d.Routes)),
-		slog.Int("Organisations", len(d.Organisations)))
+		slog.Int("Organisations", len(d.Organisations)),
+		slog.String("Path", string(st.origin.Path)),
+		slog.String("Peer", string(st.origin.Peer)),
+		slog.Duration("Unconfirmed", st.origin.Unconfirmed))
+	st.gateway.count("Configuration.By." + string(st.origin.Path))
+	metrics.GetOrRegisterGauge("Configuration.UnconfirmedMs", st.gateway.registry).Update(st.origin.Unconfirmed.Milliseconds())
 }
 
 // keyLocations lists the places in a request where a caller may put its key.
