--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -66,6 +66,9 @@
 	alive    bool
 	rejected bool
 	isolated bool
+	// frozen is set while the process stands still: others can connect to it, but it doesn't
+	// answer.
+	frozen bool
 	// cutOff is set while nothing comes from the store.
 	cutOff     bool
 	slow       time.Duration
@@ -520,7 +523,7 @@
 	var timer time.Duration
 	ended := false
 	look = func() {
-		if ended || !x.alive || x.run != run {
+		if ended || !x.alive || x.frozen || x.run != run {
 			return
 		}
 		switch decision := x.chooser.Answer(f.Now(), arrivedAt, source.Content{
@@ -612,7 +615,7 @@
 // worst returns the greatest age and lag of those that are neither rejected nor isolated.
 func (f *simulatedFleet) worst() (age, lag time.Duration) {
 	for _, x := range f.instances {
-		if x.alive && !x.rejected && !x.isolated && !x.cutOff {
+		if x.alive && !x.rejected && !x.isolated && !x.cutOff && !x.frozen {
 			age, lag = max(age, x.oldest), max(lag, x.lag)
 		}
 	}
@@ -755,6 +758,83 @@
 	}
 }
 
+// Guards against instances that know of a change too late because several that come before them
+// in order stand still, so that each costs the wait for its answer, and against a zone whose
+// instances all turn to the store then.
+func TestChangeIsKnownWhileReadersStandStill(t *testing.T) {
+	const (
+		instances = 20
+		step      = 75 * time.Millisecond
+		span      = 3 * time.Second
+	)
+	for _, frozen := range []int{1, 2, 3, 6} {
+		t.Run(fmt.Sprint(frozen), func(t *testing.T) {
+			t.Parallel()
+			for afterRead := time.Duration(0); afterRead < confirmPeriod; afterRead += step {
+				f := newFleet(1, instances, uint64(afterRead))
+				f.startAll()
+				f.Run(5*time.Second + afterRead)
+				f.resetMeasures()
+				for _, m := range source.Order("0", f.members())[:frozen] {
+					f.instance(m.Address).frozen = true
+				}
+				f.change()
+				f.Run(span)
+				if _, lag := f.worst(); lag >= maxChangeTime {
+					t.Errorf("%d stand still %v after a read: change known after %v", frozen, afterRead, lag)
+				}
+				if most := float64(instances + callsOfZone*int(span/time.Second)/60); f.calls > most {
+					t.Errorf("%.0f calls, more than %.0f", f.calls, most)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a change that calm instances know too late for any mix of failures among those
+// that come before them in order.
+func TestChangeIsKnownWhateverFailsBefore(t *testing.T) {
+	const (
+		instances = 15
+		plays     = 150
+	)
+	for seed := range uint64(plays) {
+		f := newFleet(1, instances, seed)
+		f.startAll()
+		f.Run(5*time.Second + time.Duration(f.Random.Float64()*float64(confirmPeriod)))
+		f.resetMeasures()
+		failed := ""
+		for _, m := range source.Order("0", f.members())[:1+f.Random.IntN(instances/2)] {
+			x := f.instance(m.Address)
+			f.Run(time.Duration(f.Random.Float64() * float64(100*time.Millisecond)))
+			switch f.Random.IntN(6) {
+			case 0:
+				x.frozen = true
+				failed += " frozen"
+			case 1:
+				x.cutOff = true
+				failed += " cut-off"
+			case 2:
+				x.isolated = true
+				failed += " isolated"
+			case 3:
+				x.rejected = true
+				failed += " rejected"
+			case 4:
+				x.kill()
+				failed += " killed"
+			default:
+				failed += " calm"
+			}
+		}
+		f.change()
+		f.Run(3 * time.Second)
+		if _, lag := f.worst(); lag >= maxChangeTime {
+			t.Errorf("seed %d,%s: change known after %v", seed, failed, lag)
+		}
+	}
+}
+
 // playCutOffReaders cuts the first instances in order off from the store, a time after a
 // confirming read and after a change.
 func playCutOffReaders(t *testing.T, cutOff int, afterRead, afterChange time.Duration) {
