Trust the first content of a later era only once it is known to be complete

Callers saw: a key that had been withdrawn over 5 s before was accepted (CONFIG, strict_revoke) by an instance that started while the store had been set back.

Cause: a mirror waited for what the store had lost only if it saw the era change. One whose first content was of the new era trusted it at once, also as a copy of an instance which itself didn't.

Why it works: the first content of an era above zero waits like a change of the era. So that each later start doesn't, a reader records the era in the store (dandelionmux/era) once the time is over.

--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -55,6 +55,23 @@
 	is.Equal(g.memberKey(), "dandelionmux/members/10.0.0.1:7000")
 }
 
+func TestEraIsStoredUnderAFixedName(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New(mirror.WithEraKey(eraKey))
+	at := mirror.Position{
+		Era:     3,
+		Counter: 5,
+	}
+	m.ApplyList(0, nil, at)
+	m.ConfirmRead(time.Minute, at)
+	record, ok := m.UnrecordedEra()
+	is.True(ok)
+	is.Equal(record, store.Entry{
+		Key:   "dandelionmux/era",
+		Value: []byte("3"),
+	})
+}
+
 func TestQuarantineIsStoredUnderFixedNames(t *testing.T) {
 	is := is.New(t)
 	content, err := json.Marshal(quarantineValue{
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -269,11 +269,37 @@
 				return errReadingEnded
 			}
 			g.backoff.wait(ctx)
+			continue
 		}
+		g.recordEra(ctx)
 	}
 	return errReadingEnded
 }
 
+// recordEra writes to the store that all it had lost is written again, if that isn't recorded.
+// Several zones may try; one succeeds.
+func (g *Gateway) recordEra(ctx context.Context) {
+	var record store.Entry
+	unrecorded := false
+	g.state.withLock(func() { record, unrecorded = g.state.mirror.UnrecordedEra() })
+	if !unrecorded {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := g.callStore(ctx, store.Swap{
+		Key:      record.Key,
+		Value:    record.Value,
+		Expected: record.Version,
+	})
+	if err != nil {
+		g.logStoreFailure(ctx, "record era", err)
+		return
+	}
+	g.logger.Info("era recorded",
+		slog.String("Era", string(record.Value)))
+}
+
 // confirmationExpired reports whether the last confirming read is too old for a reader.
 func (g *Gateway) confirmationExpired() bool {
 	confirmedAt, ok := g.confirmedAt()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -32,6 +32,10 @@
 // memberPrefix is the store key prefix under which instances register.
 const memberPrefix = "dandelionmux/members/"
 
+// eraKey is the store key of the latest era in which all that the store had lost was written
+// again.
+const eraKey = "dandelionmux/era"
+
 const (
 	// configurationAgeMargin is subtracted from Settings.MaxConfigurationAge, because a
 	// request reaches its target some time after the last check of its key.
@@ -202,7 +206,7 @@
 	now := boot.Now()
 	return &localState{
 		gateway:    g,
-		mirror:     mirror.New(),
+		mirror:     mirror.New(mirror.WithEraKey(eraKey)),
 		targets:    target.NewRegistry(),
 		members:    map[instance.Address]member{},
 		roster:     roster.New(g.self, nil),
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -18,22 +18,28 @@
 // therefore compares counters of the same era only, and takes in a new era by a complete
 // list. The others that write to the store write again what it lost. Until they have had
 // the time to, a confirmed mirror may lack changes that were made long ago, and TrustedAt
-// stands still.
+// stands still. A mirror whose first content is of a later era doesn't know when that began. So
+// one that has waited long enough records the era in the store (UnrecordedEra), and the others
+// trust content that holds the record of its own era at once.
 //
 // # Usage
 //
-//	m := mirror.New()
+//	m := mirror.New(mirror.WithEraKey("era"))
 //	m.ApplyList(now, answer.Entries, position)
 //	m.ApplyChanges(changes.Entries, position)
 //	m.ConfirmRead(sent, position)
 //	if at, ok := m.TrustedAt(); ok && now-at < term {
 //		// m holds all that was written until the time at, or later.
 //	}
+//	if record, ok := m.UnrecordedEra(); ok {
+//		// Write record.Value under record.Key, if its version is still record.Version.
+//	}
 package mirror
 
 import (
 	"bytes"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -64,6 +70,9 @@
 type Mirror struct {
 	entries map[string]store.Entry
 	at      Position
+	// eraKey is the key under which the store holds the latest era in which all has been
+	// written again.
+	eraKey string
 	// removals are the latest removals, in the order of their counters. They
 	// include all removals after the counter removalsAfter.
 	removals      []store.Entry
@@ -73,6 +82,7 @@
 	confirmedAt time.Duration
 	trustedAt   time.Duration
 	confirmed   bool
+	trusted     bool
 	pending     confirmation
 	// rewrittenAt is when all that the store lost before this era is written again.
 	rewrittenAt time.Duration
@@ -95,11 +105,24 @@
 	At      Position
 }
 
+// Option configures a Mirror.
+type Option func(*Mirror)
+
+// WithEraKey sets the key under which the store holds the latest era in which all has been
+// written again. Without it each mirror waits for that by itself.
+func WithEraKey(key string) Option {
+	return func(m *Mirror) { m.eraKey = key }
+}
+
 // New returns an empty mirror.
-func New() *Mirror {
-	return &Mirror{
+func New(options ...Option) *Mirror {
+	m := &Mirror{
 		entries: map[string]store.Entry{},
 	}
+	for _, o := range options {
+		o(m)
+	}
+	return m
 }
 
 // Position returns the position up to which the mirror has all changes. Its counter is zero
@@ -125,6 +148,9 @@
 	if at.Era > m.at.Era && !m.Empty() {
 		return m.startEra(now, entries, at)
 	}
+	if m.Empty() && at.Era > 0 {
+		m.rewrittenAt = now + rewriteTime
+	}
 	m.at.Era = at.Era
 	var changed []store.Entry
 	present := make(map[string]bool, len(entries))
@@ -284,16 +310,42 @@
 		m.confirmedAt = sentAt
 		m.confirmed = true
 	}
-	if sentAt >= m.rewrittenAt {
+	if sentAt >= m.rewrittenAt || m.eraRecorded() {
 		m.trustedAt = max(m.trustedAt, sentAt)
+		m.trusted = true
+	}
+}
+
+// eraRecorded reports whether the store holds the record that all it lost before this era has
+// been written again.
+func (m *Mirror) eraRecorded() bool {
+	e, ok := m.entries[m.eraKey]
+	return ok && string(e.Value) == eraText(m.at.Era)
+}
+
+// eraText returns the value under the era's key.
+func eraText(era store.Era) string { return strconv.FormatInt(int64(era), 10) }
+
+// UnrecordedEra returns the entry to be written once all that the store lost before this era has
+// been written again, with the version of the entry that it replaces (zero if there is none). It
+// returns false if there is nothing to record.
+func (m *Mirror) UnrecordedEra() (record store.Entry, ok bool) {
+	if m.eraKey == "" || m.at.Era == 0 || !m.trusted || m.trustedAt < m.rewrittenAt || m.eraRecorded() {
+		return store.Entry{}, false
 	}
+	return store.Entry{
+		Key:     m.eraKey,
+		Value:   []byte(eraText(m.at.Era)),
+		Version: m.entries[m.eraKey].Version,
+	}, true
 }
 
 // TrustedAt returns the latest time at which the mirror is known to have held all that
 // anybody had written to the store, and false if there is none yet. It is ConfirmedAt,
-// unless the store was set back: then it doesn't move for rewriteTime.
+// unless the store was set back: then it doesn't move for rewriteTime, or until the era is
+// recorded.
 func (m *Mirror) TrustedAt() (time.Duration, bool) {
-	return m.trustedAt, m.confirmed
+	return m.trustedAt, m.trusted
 }
 
 // ConfirmedAt returns the latest time at which the mirror is confirmed to have
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -277,3 +277,74 @@
 	is.Equal(len(follower.ApplyDelta(0, reader.Since(follower.Position()))), 2)
 	is.Equal(follower.Position(), setBack)
 }
+
+// Guards against an instance that starts while the store is set back and takes the first content
+// that it sees for all that was ever written.
+func TestFirstContentOfALaterEraIsTrustedLater(t *testing.T) {
+	const eraKey = "era"
+	laterEra := mirror.Position{
+		Era:     2,
+		Counter: 9,
+	}
+	tests := []struct {
+		name     string
+		content  []store.Entry
+		at       mirror.Position
+		trusted  bool
+		recorded bool
+	}{
+		{
+			name:    "never set back",
+			at:      position(9),
+			trusted: true,
+		},
+		{
+			name: "no record",
+			at:   laterEra,
+		},
+		{
+			name:    "record of an earlier era",
+			content: []store.Entry{storedAs(eraKey, "1", 4)},
+			at:      laterEra,
+		},
+		{
+			name:     "record of this era",
+			content:  []store.Entry{storedAs(eraKey, "2", 8)},
+			at:       laterEra,
+			trusted:  true,
+			recorded: true,
+		},
+		{
+			name:    "record that can't be read",
+			content: []store.Entry{storedAs(eraKey, "x", 8)},
+			at:      laterEra,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := mirror.New(mirror.WithEraKey(eraKey))
+			m.ApplyDelta(time.Second, mirror.Delta{
+				Full:    true,
+				Entries: tt.content,
+				At:      tt.at,
+			})
+			m.ConfirmRead(2*time.Second, tt.at)
+			_, trusted := m.TrustedAt()
+			is.Equal(trusted, tt.trusted)
+			_, unrecorded := m.UnrecordedEra()
+			is.True(!unrecorded)
+			m.ConfirmRead(3*time.Second, tt.at)
+			at, trusted := m.TrustedAt()
+			is.True(trusted)
+			is.Equal(at, 3*time.Second)
+			record, unrecorded := m.UnrecordedEra()
+			is.Equal(unrecorded, tt.at.Era > 0 && !tt.recorded)
+			if unrecorded {
+				is.Equal(string(record.Value), "2")
+				old, _ := m.Entry(eraKey)
+				is.Equal(record.Version, old.Version)
+			}
+		})
+	}
+}
