Pass on removals of keys that a mirror never held

Callers would see: requests to a target that has left, or a member that is gone, at instances that followed one reader and then another; for good, as nothing reads the whole store again.

Cause: a mirror recorded a removal for its followers only if it held the key. One that got no changes while a key was written and removed didn't hold it, and so passed on the position without the removal to followers that had seen the write.

Why it works: a removal newer than the mirror is recorded whether it holds the key or not.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -253,14 +253,15 @@
 	if at == 0 {
 		at = counter
 	}
-	if !ok || old.Version > at {
+	if ok && old.Version > at || !ok && at <= m.at.Counter {
 		return false
 	}
 	m.remove(e.Key, at)
-	return true
+	return ok
 }
 
-// remove deletes a key and records its removal for followers.
+// remove deletes a key, if the mirror has it, and records its removal for followers: they may
+// have an entry that was written and removed while this mirror received no changes.
 func (m *Mirror) remove(key string, counter int64) store.Entry {
 	delete(m.entries, key)
 	removal := store.Entry{
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -348,3 +348,17 @@
 		})
 	}
 }
+
+// Guards against a follower that keeps a key which was removed, because its reader got no changes
+// while the key was written and removed, and so took the removal for nothing new.
+func TestRemovalOfAKeyThatTheReaderNeverHadReachesFollowers(t *testing.T) {
+	is := is.New(t)
+	reader, follower := mirror.New(), mirror.New()
+	reader.ApplyList(0, nil, position(2))
+	follower.ApplyList(0, []store.Entry{entry("a", 4)}, position(4))
+	is.Equal(len(reader.ApplyChanges([]store.Entry{removal("a", 7)}, position(7))), 0)
+	is.Equal(len(follower.ApplyDelta(0, reader.Since(follower.Position()))), 1)
+	_, ok := follower.Entry("a")
+	is.True(!ok)
+}
+
