Keep keys that were removed and written again in copies of all content

Callers saw: more than an organisation's rate (QUOTA) after a rolling restart, as two instances kept it; targets whose entry had lapsed and come back got nothing from instances that started later.

Cause: an instance that starts gets all content compressed, with what changed since behind it. Of the entries of a key the receiver took the last, and removals came last, so a key that was removed and written again was missing, for good.

Why it works: the entry with the highest counter counts, whatever the order.

--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -508,26 +508,11 @@
 		return nil
 	})
 	if compressed {
-		c.Entries = latestEntries(c.Entries)
+		c.Entries = mirror.Latest(c.Entries)
 	}
 	return c, err
 }
 
-// latestEntries, which changes entries, returns the last entry of each key, without those that were removed.
-func latestEntries(entries []store.Entry) []store.Entry {
-	latest := make(map[string]int, len(entries))
-	for i, e := range entries {
-		latest[e.Key] = i
-	}
-	list := entries[:0]
-	for i, e := range entries {
-		if latest[e.Key] == i && e.Version > 0 {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // decodeCompressed decodes entries that were compressed.
 func decodeCompressed(b []byte) ([]store.Entry, error) {
 	plain, err := decompress(b)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -387,14 +387,35 @@
 	if d.Full {
 		return d
 	}
+	// Removals go first: builds before landing 12 take the last of two entries of a key.
+	var removals []store.Entry
 	for _, r := range m.removals {
 		if r.RemovedAt > at.Counter {
-			d.Entries = append(d.Entries, r)
+			removals = append(removals, r)
 		}
 	}
+	d.Entries = append(removals, d.Entries...)
 	return d
 }
 
+// Latest returns the newest entry of each key in a list of entries and removals, without those
+// that are removed. It changes the list. A key that was removed and written again is in it as
+// both, in any order.
+func Latest(entries []store.Entry) []store.Entry {
+	latest := make(map[string]int64, len(entries))
+	for _, e := range entries {
+		latest[e.Key] = max(latest[e.Key], e.Version, e.RemovedAt)
+	}
+	list := entries[:0]
+	for _, e := range entries {
+		if e.Version > 0 && e.Version == latest[e.Key] {
+			list = append(list, e)
+			latest[e.Key]++ // leaves out further copies of the entry
+		}
+	}
+	return list
+}
+
 // ApplyDelta applies a delta of another mirror, and returns the entries that
 // changed this one.
 func (m *Mirror) ApplyDelta(now time.Duration, d Delta) []store.Entry {
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -362,3 +362,52 @@
 	is.True(!ok)
 }
 
+// Guards against a copy without a key that was removed and written again.
+func TestLatestKeepsWhatWasWrittenAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries []store.Entry
+		want    []store.Entry
+	}{
+		{
+			name:    "written again, the removal listed last",
+			entries: []store.Entry{entry("a", 3), entry("a", 9), removal("a", 8)},
+			want:    []store.Entry{entry("a", 9)},
+		},
+		{
+			name:    "written again, the removal listed first",
+			entries: []store.Entry{removal("a", 8), entry("a", 9)},
+			want:    []store.Entry{entry("a", 9)},
+		},
+		{
+			name:    "removed",
+			entries: []store.Entry{entry("a", 3), entry("b", 4), removal("a", 8)},
+			want:    []store.Entry{entry("b", 4)},
+		},
+		{
+			name:    "twice the same",
+			entries: []store.Entry{entry("a", 3), entry("a", 3)},
+			want:    []store.Entry{entry("a", 3)},
+		},
+		{
+			name:    "removed twice",
+			entries: []store.Entry{entry("a", 3), removal("a", 5), entry("a", 6), removal("a", 7)},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(append([]store.Entry(nil), mirror.Latest(tt.entries)...), tt.want)
+		})
+	}
+}
+
+// Guards against builds before landing 12 that lose a key which was removed and written again:
+// of two entries of a key they take the last.
+func TestDeltaNamesRemovalsFirst(t *testing.T) {
+	is := is.New(t)
+	m := mirror.New()
+	m.ApplyList(0, []store.Entry{entry("a", 1), entry("b", 2)}, position(2))
+	m.ApplyChanges([]store.Entry{removal("a", 3), removal("b", 4), entry("a", 5)}, position(5))
+	is.Equal(m.Since(position(2)).Entries, []store.Entry{removal("a", 3), removal("b", 4), entry("a", 5)})
+}
