Find instances whose content differs, and have them list the store anew

Each copy now carries a digest of keys and versions. A follower that differs at the same position for a second lists the store, logs and counts it; if it still differs it tells the one that it copies, which then lists. A list now counts as right also where a mirror had recorded a removal. Instances of earlier builds send no digest and skip the question.

--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -457,13 +457,26 @@
 	}
 	inEra := copied
 	inEra.At.Era = 2
+	withDigest := copied
+	withDigest.Digest = 300
 	tests := []struct {
-		name  string
-		after mirror.Position
-		query string
-		sent  string
-		want  mirrorCopy
+		name    string
+		after   mirror.Position
+		differs bool
+		query   string
+		sent    string
+		want    mirrorCopy
 	}{
+		{
+			name: "with a digest, to one that differs",
+			after: mirror.Position{
+				Counter: 3,
+			},
+			differs: true,
+			query:   "/?After=3&Differs=1",
+			sent:    "0807100118e807200150ac02" + "2a0a0a016b12017618052000" + "2a090a016c120018002006",
+			want:    withDigest,
+		},
 		{
 			name: "store that was never set back",
 			after: mirror.Position{
@@ -500,7 +513,11 @@
 				peerClient: newPeerClient(),
 			}
 			defer g.peerClient.CloseIdleConnections()
-			got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), tt.after, 0, copyTimeout)
+			got, err := g.requestMirror(t.Context(), instance.Address(server.Listener.Addr().String()), mirrorRequest{
+				After:    tt.after,
+				Differs:  tt.differs,
+				Patience: copyTimeout,
+			})
 			is.NoErr(err)
 			is.Equal(got, tt.want)
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	leaving   atomic.Bool
 	// readingStore is set while the instance reads the store for its zone.
 	readingStore atomic.Bool
+	// relist is set when the store is to be listed anew because of a difference.
+	relist atomic.Bool
 	// copies are the last answers to followers, the next of which is replaced, and fullCopy
 	// is the last one with all entries that was compressed.
 	copyMu   sync.Mutex
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -53,6 +54,7 @@
 	fieldHeld // in microseconds
 	fieldConfirmation
 	fieldCompressed // entries
+	fieldDigest
 )
 
 // Field numbers of an entry of a mirrorCopy.
@@ -93,9 +95,24 @@
 	Confirmation uint64
 }
 
-// copiedFrom is what the last answer of an instance says about its confirming read.
+// copiedFrom is what the last answer of an instance says.
 type copiedFrom struct {
+	// confirmation identifies its confirming read.
 	confirmation uint64
+	// differs is set if its content differs from a list of the store.
+	differs bool
+}
+
+// mirrorRequest is what an instance asks another one for.
+type mirrorRequest struct {
+	// After is what the instance has, and Known the confirmation that the other gave last;
+	// zero if there was none.
+	After mirror.Position
+	Known uint64
+	// Differs tells the other that its content differs from a list of the store.
+	Differs bool
+	// Patience is how long to wait for the head of the answer.
+	Patience time.Duration
 }
 
 // errBusy says that an instance sends its content to others already.
@@ -109,6 +126,7 @@
 type encodedEntries struct {
 	after, at mirror.Position
 	full      bool
+	digest    uint64
 	content   []byte
 	// compressed is content compressed, as a field; nil if that isn't worth it.
 	compressed []byte
@@ -152,6 +170,9 @@
 		return
 	}
 	known := parseConfirmation(r.URL.Query())
+	if r.URL.Query().Get("Differs") == "1" {
+		g.relistIfDue()
+	}
 	arrivedAt := boot.Now()
 	// Only a follower that says so asks another instance if this one is busy.
 	limited := after.Counter == 0 && r.URL.Query().Get("Spread") == "1"
@@ -227,7 +248,7 @@
 	if e.compressed != nil && mayCompress {
 		content = e.compressed
 	}
-	c.At, c.Full = e.at, e.full
+	c.At, c.Full, c.Digest = e.at, e.full, e.digest
 	_, _ = w.Write(slices.Concat(encodeMirrorCopy(c), content, e.later))
 }
 
@@ -256,6 +277,7 @@
 		after:   after,
 		at:      d.At,
 		full:    d.Full,
+		digest:  d.Digest,
 		content: appendEntries(nil, d.Entries),
 	}
 	if after.Counter == 0 && len(e.content) >= minCompressedBytes {
@@ -287,7 +309,7 @@
 	if !current || later.Full || len(later.Entries) > maxLaterEntries {
 		return encodedEntries{}, false
 	}
-	e.at, e.later = later.At, appendEntries(nil, later.Entries)
+	e.at, e.digest, e.later = later.At, later.Digest, appendEntries(nil, later.Entries)
 	return e, true
 }
 
@@ -340,11 +362,16 @@
 	if next.Until > 0 {
 		patience = min(patience, max(next.Until-sentAt, 0))
 	}
-	c, err := g.requestMirror(ctx, from, after, last.confirmation, patience)
+	c, err := g.requestMirror(ctx, from, mirrorRequest{
+		After:    after,
+		Known:    last.confirmation,
+		Differs:  last.differs,
+		Patience: patience,
+	})
 	if err != nil {
 		return err
 	}
-	last.confirmation = c.Confirmation
+	last.confirmation, last.differs = c.Confirmation, false
 	copied := origin{
 		Path: byCopy,
 		Peer: from,
@@ -358,6 +385,7 @@
 		}
 		return changes
 	})
+	g.compare(ctx, next.Instance, c, last)
 	if c.At.Era < after.Era {
 		return errors.Wrapf(errOutdated, "era %d, before %d", c.At.Era, after.Era)
 	}
@@ -367,19 +395,64 @@
 	return nil
 }
 
-// requestMirror requests the changes after a position from another instance. known is the
-// confirmation that it gave last, or zero. The answer must begin within patience.
-func (g *Gateway) requestMirror(ctx context.Context, from instance.Address, after mirror.Position, known uint64, patience time.Duration) (mirrorCopy, error) {
+// compare compares the mirror with what another instance says of its own, and does what package
+// mirror decides if they differ.
+func (g *Gateway) compare(ctx context.Context, from instance.Address, c mirrorCopy, last *copiedFrom) {
+	remedy := mirror.Remedy(mirror.Nothing{})
+	g.state.withLock(func() {
+		if m := g.state.mirror; c.Digest != 0 && m.Position() == c.At {
+			remedy = g.state.comparison.Compared(boot.Now(), m.Digest() == c.Digest)
+		}
+	})
+	switch remedy.(type) {
+	case mirror.Nothing:
+		return
+	case mirror.Relist:
+		g.count("Mirror.Differs")
+		g.listOnce(ctx)
+	case mirror.Report:
+		last.differs = true
+	}
+	g.logger.Error("content differs at the same position",
+		slog.String("Peer", string(from)),
+		slog.Int64("Era", int64(c.At.Era)),
+		slog.Int64("Counter", c.At.Counter),
+		slog.Bool("Listed", !last.differs))
+}
+
+// relistIfDue has the store listed anew because another instance found that this one's content
+// differs from it.
+func (g *Gateway) relistIfDue() {
+	due := false
+	g.state.withLock(func() { due = g.state.comparison.MayList(boot.Now()) })
+	if due {
+		g.count("Mirror.Reported")
+		g.relist.Store(true)
+	}
+}
+
+// relistReported lists the store anew if relistIfDue has asked for it.
+func (g *Gateway) relistReported(ctx context.Context) {
+	if g.relist.Swap(false) {
+		g.listOnce(ctx)
+	}
+}
+
+// requestMirror requests another instance's changes.
+func (g *Gateway) requestMirror(ctx context.Context, from instance.Address, m mirrorRequest) (mirrorCopy, error) {
 	query := url.Values{
-		"After": {strconv.FormatInt(after.Counter, 10)},
+		"After": {strconv.FormatInt(m.After.Counter, 10)},
 	}
-	if after.Era > 0 {
-		query.Set("Era", strconv.FormatInt(int64(after.Era), 10))
+	if m.After.Era > 0 {
+		query.Set("Era", strconv.FormatInt(int64(m.After.Era), 10))
 	}
-	if known > 0 {
-		query.Set("Known", strconv.FormatUint(known, 10))
+	if m.Known > 0 {
+		query.Set("Known", strconv.FormatUint(m.Known, 10))
 	}
-	if after.Counter == 0 {
+	if m.Differs {
+		query.Set("Differs", "1")
+	}
+	if m.After.Counter == 0 {
 		query.Set("Compressed", "1")
 		query.Set("Spread", "1")
 	}
@@ -393,7 +466,7 @@
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
-	response, err := g.awaitHead(request, patience)
+	response, err := g.awaitHead(request, m.Patience)
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
@@ -461,6 +534,9 @@
 	if c.Confirmation > 0 {
 		b = appendNumber(b, fieldConfirmation, c.Confirmation)
 	}
+	if c.Digest > 0 {
+		b = appendNumber(b, fieldDigest, c.Digest)
+	}
 	return appendEntries(b, c.Entries)
 }
 
@@ -495,6 +571,8 @@
 			c.Held = time.Duration(v) * time.Microsecond
 		case fieldConfirmation:
 			c.Confirmation = v
+		case fieldDigest:
+			c.Digest = v
 		case fieldEntry:
 			e, err := decodeEntry(content)
 			c.Entries = append(c.Entries, e)
--- a/internal/gateway/mirrorcopy_test.go
+++ b/internal/gateway/mirrorcopy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -158,3 +159,25 @@
 	status, _ = ask("", true)
 	is.Equal(status, http.StatusOK)
 }
+
+// Guards against an instance that differs from the others for good, whatever the reason, whether
+// it copies others or they copy it.
+func TestInstanceThatDiffersListsTheStoreAnew(t *testing.T) {
+	for _, reading := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reading %v", reading), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newTestFleet(t, 3, 3)
+			i := -1
+			f.await(func() bool {
+				i = slices.IndexFunc(f.instances, func(g *gateway.Gateway) bool { return g.Reading() == reading })
+				return i >= 0
+			})
+			const key = targetPrefix + "desk-b"
+			f.instances[i].Forget(key)
+			is.True(!f.instances[i].Holds(key))
+			f.await(func() bool { return f.instances[i].Holds(key) })
+			is.True(strings.Contains(f.log.String(), "content differs at the same position"))
+		})
+	}
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -272,6 +272,7 @@
 			continue
 		}
 		g.recordEra(ctx)
+		g.relistReported(ctx)
 	}
 	return errReadingEnded
 }
@@ -347,6 +348,7 @@
 			return
 		case err == nil:
 			g.state.withLock(func() { g.state.source.Copied() })
+			g.relistReported(ctx)
 		default:
 			g.state.skipSource(reader, copyFailure(err), err.Error())
 			return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -62,6 +62,8 @@
 	mirror *mirror.Mirror
 	// origin is that of the change of the mirror that is being applied.
 	origin origin
+	// comparison is with the mirrors of others.
+	comparison mirror.Comparison
 	// loading is set while the first content of the store is applied.
 	loading  bool
 	targets  *target.Registry
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -22,6 +22,9 @@
 // one that has waited long enough records the era in the store (UnrecordedEra), and the others
 // trust content that holds the record of its own era at once.
 //
+// Mirrors of one era at the same counter hold the same. Digest tells whether they do without
+// sending it, and a Comparison what to do if they don't.
+//
 // # Usage
 //
 //	m := mirror.New(mirror.WithEraKey("era"))
@@ -70,6 +73,8 @@
 type Mirror struct {
 	entries map[string]store.Entry
 	at      Position
+	// digest is that of all entries.
+	digest uint64
 	// eraKey is the key under which the store holds the latest era in which all has been
 	// written again.
 	eraKey string
@@ -103,6 +108,8 @@
 	Full    bool
 	Entries []store.Entry
 	At      Position
+	// Digest is that of the mirror which gave the delta; zero if it gives none.
+	Digest uint64
 }
 
 // Option configures a Mirror.
@@ -140,7 +147,8 @@
 
 // ApplyList replaces the mirror's content by the entries that the store held at
 // the position, and returns those that changed. It ignores a list that is older
-// than the mirror.
+// than the mirror. Otherwise the list is right, also where the mirror has recorded a
+// removal.
 func (m *Mirror) ApplyList(now time.Duration, entries []store.Entry, at Position) []store.Entry {
 	if m.at.after(at) {
 		return nil
@@ -156,7 +164,8 @@
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
-		if m.put(e) {
+		if m.entries[e.Key].Version < e.Version {
+			m.set(e)
 			changed = append(changed, e)
 		}
 	}
@@ -176,9 +185,9 @@
 func (m *Mirror) startEra(now time.Duration, entries []store.Entry, at Position) []store.Entry {
 	var changed []store.Entry
 	old := m.entries
-	m.entries = make(map[string]store.Entry, len(entries))
+	m.entries, m.digest = make(map[string]store.Entry, len(entries)), 0
 	for _, e := range entries {
-		m.entries[e.Key] = e
+		m.set(e)
 		if o, ok := old[e.Key]; !ok || !bytes.Equal(o.Value, e.Value) {
 			changed = append(changed, e)
 		}
@@ -229,10 +238,29 @@
 	if e.Version <= m.at.Counter && !m.newerThanRemovals(e) {
 		return false
 	}
-	m.entries[e.Key] = e
+	m.set(e)
 	return true
 }
 
+// set stores an entry in place of an earlier one of its key.
+func (m *Mirror) set(e store.Entry) {
+	m.unset(e.Key)
+	m.entries[e.Key] = e
+	m.digest ^= entryDigest(e)
+}
+
+// unset deletes a key, if the mirror has it.
+func (m *Mirror) unset(key string) {
+	if e, ok := m.entries[key]; ok {
+		m.digest ^= entryDigest(e)
+		delete(m.entries, key)
+	}
+}
+
+// Digest stands for the keys and versions that the mirror holds. Two mirrors at the same position
+// have the same one.
+func (m *Mirror) Digest() uint64 { return m.digest }
+
 // newerThanRemovals reports whether the entry is at least as new as every known removal
 // of its key.
 func (m *Mirror) newerThanRemovals(e store.Entry) bool {
@@ -263,7 +291,7 @@
 // remove deletes a key, if the mirror has it, and records its removal for followers: they may
 // have an entry that was written and removed while this mirror received no changes.
 func (m *Mirror) remove(key string, counter int64) store.Entry {
-	delete(m.entries, key)
+	m.unset(key)
 	removal := store.Entry{
 		Key:       key,
 		RemovedAt: counter,
@@ -372,7 +400,8 @@
 // zero. A follower that is ahead of the mirror gets an empty Delta.
 func (m *Mirror) Since(at Position) Delta {
 	d := Delta{
-		At: m.at,
+		At:     m.at,
+		Digest: m.digest,
 	}
 	if at.after(m.at) {
 		return d
