Match a prefix with a final slash only with paths that begin with it

Cause: the adapter cut the final slash off each prefix, and the index matches whole elements, so a prefix matched the path without its slash.

Why it works: the prefix keeps its slash, and the index looks up each prefix of the path with and without one. Paths with doubled slashes, semicolons or escapes, until now always refused or matched decoded, have a route if every reading of them has the same.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -115,7 +115,7 @@
 	most := allowedAttempts(x.route)
 	if s := x.handler.deps.Snapshots.Current(); s != x.snapshot && s.Index != nil {
 		// A document that has come into force meanwhile may allow fewer.
-		route := s.Index.Match(x.request.Host, x.request.URL.Path, x.request.Method)
+		route := matchRoute(s.Index, x.request)
 		if route != nil && route.Name == x.route.Name {
 			most = min(most, allowedAttempts(route))
 		}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -134,7 +134,7 @@
 		}
 	}
 	r := x.request
-	route := s.Index.Match(r.Host, r.URL.Path, r.Method)
+	route := matchRoute(s.Index, r)
 	if route == nil {
 		return &Refusal{
 			Status: http.StatusNotFound,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/forward"
 	"dandelionmux/internal/ingress"
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/keepalive"
 )
 
@@ -141,10 +142,15 @@
 	if s.Index == nil {
 		return false
 	}
-	route := s.Index.Match(r.Host, r.URL.Path, r.Method)
+	route := matchRoute(s.Index, r)
 	return route != nil && route.MayRepeat(r.Method)
 }
 
+// matchRoute returns the route of a request, or nil.
+func matchRoute(x *document.Index, r *http.Request) *document.Route {
+	return x.MatchEscaped(r.Host, r.URL.EscapedPath(), r.URL.Path, r.Method)
+}
+
 // newExchange returns the exchange of a request that has just arrived.
 func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -47,7 +47,8 @@
 	// Host is compared with the whole host of the request, without its port;
 	// empty matches any host.
 	Host string
-	// PathPrefix begins with a slash and matches whole path elements.
+	// PathPrefix begins with a slash. One that ends with a slash matches the paths that begin
+	// with it, another one itself and the paths in which more elements follow.
 	PathPrefix string
 	// Methods are the methods that the route matches; empty means all.
 	Methods []string
--- a/pkg/document/index.go
+++ b/pkg/document/index.go
@@ -20,10 +20,10 @@
 	rates         map[string]int32
 	services      map[string]int32
 	organisations map[string]int32
-	// nodes are the routes by path prefix; maxElements is the largest number of
-	// path elements in a prefix.
-	nodes       map[string]*routeNode
-	maxElements int
+	// nodes are the routes by path prefix; maxSlashes is the largest number of
+	// slashes in a prefix.
+	nodes      map[string]*routeNode
+	maxSlashes int
 }
 
 // indexedKey is the digest of a key and the index of its organisation.
--- a/pkg/document/index_test.go
+++ b/pkg/document/index_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -171,6 +172,53 @@
 	})
 }
 
+// Guards against requests that go to a route whose prefix doesn't begin their path, past the key of
+// the route that does, and against paths without a route although a prefix begins them. The
+// reference compares strings only.
+func TestPrefixesWithFinalSlashBeginThePath(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefix := rapid.StringMatching(`(/[ab]){0,3}/`)
+		var d document.Document
+		for i, p := range rapid.SliceOfNDistinct(prefix, 0, 8, rapid.ID[string]).Draw(t, "prefixes") {
+			d.Routes = append(d.Routes, route(fmt.Sprint(i), "", p))
+		}
+		reference := func(path string) string {
+			best, length := "", 0
+			for _, r := range d.Routes {
+				if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > length {
+					best, length = r.Name, len(r.PathPrefix)
+				}
+			}
+			return best
+		}
+		x := document.NewIndex(d)
+		match := func(path string) string {
+			if r := x.Match("h", path, "GET"); r != nil {
+				return r.Name
+			}
+			return ""
+		}
+		plain := rapid.StringMatching(`(/[ab]){0,4}/?`).Draw(t, "plain path")
+		if got, want := match(plain), reference(plain); got != want {
+			t.Fatalf("%q: got route %q, want %q of %+v", plain, got, want, d.Routes)
+		}
+		odd := rapid.StringMatching(`(/|/[ab]|;a|;|/\.|/\.\.|\\|%2F|a){1,6}`).Draw(t, "odd path")
+		got := match(odd)
+		if got != "" && got != reference(odd) {
+			t.Fatalf("%q: got route %q, want %q of %+v", odd, got, reference(odd), d.Routes)
+		}
+		// A target may take doubled slashes for one, and leave out what follows a semicolon.
+		same := regexp.MustCompile(`//+`).ReplaceAllString(regexp.MustCompile(`;[^/]*`).ReplaceAllString(odd, ""), "/")
+		dots := regexp.MustCompile(`/\.\.?(;[^/]*)?(/|$)|\\`).MatchString(odd)
+		if want := reference(odd); !dots && want == reference(same) && got != want {
+			t.Fatalf("%q: got route %q, want %q of %+v", odd, got, want, d.Routes)
+		}
+		if got != "" && got != reference(same) {
+			t.Fatalf("%q: got route %q, but a target may take it for %q, which has route %q", odd, got, same, reference(same))
+		}
+	})
+}
+
 func TestLookupsDoNotAllocate(t *testing.T) {
 	is := is.New(t)
 	x := document.NewIndex(largeDocument())
--- a/pkg/document/match.go
+++ b/pkg/document/match.go
@@ -28,7 +28,7 @@
 		} else {
 			node.byHost[r.Host] = insertRoute(node.byHost[r.Host], r)
 		}
-		x.maxElements = max(x.maxElements, strings.Count(r.PathPrefix, "/"))
+		x.maxSlashes = max(x.maxSlashes, strings.Count(r.PathPrefix, "/"))
 	}
 }
 
@@ -41,39 +41,63 @@
 	return slices.Insert(list, 0, r)
 }
 
-// Match returns the route of a request, or nil. The path must be decoded; the host
-// may include a port. Among the routes that match the request's host, path and
-// method, the one with the longest prefix wins, then one that names the host, then
-// one that names the method.
+// Match returns the route of a request, or nil. The host may include a port. Among the routes
+// that match the request's host, path and method, the one with the longest prefix wins, then one
+// that names the host, then one that names the method.
 //
-// A path with empty or dot elements, a backslash or a semicolon has no route. A
-// target might interpret it as a different path than the one matched here, and
-// the request would bypass the key check of that path's route.
+// A target might interpret the path as a different one than is matched here, and the request
+// would bypass the key check of that path's route. So a path with dot elements or a backslash has
+// no route, and one with empty elements or a semicolon only if it has the same route without the
+// empty elements and without what follows a semicolon in its element.
 func (x *Index) Match(host, path, method string) *Route {
-	if !isCleanPath(path) {
+	if path == "" || path[0] != '/' || hasDotElement(path) || strings.IndexByte(path, '\\') >= 0 {
 		return nil
 	}
 	host = normaliseHost(host)
-	for end := x.longestPrefixEnd(path); end > 0; end = strings.LastIndexByte(path[:end], '/') {
+	r := x.longestMatch(host, path, method)
+	if r != nil && !isCleanPath(path) && x.longestMatch(host, plainPath(path), method) != r {
+		return nil
+	}
+	return r
+}
+
+// MatchEscaped is Match for a path as it was received. A target might or might not decode
+// escapes, so a path has a route only if it has the same one decoded.
+func (x *Index) MatchEscaped(host, escaped, decoded, method string) *Route {
+	r := x.Match(host, decoded, method)
+	if r != nil && escaped != decoded && x.Match(host, escaped, method) != r {
+		return nil
+	}
+	return r
+}
+
+// longestMatch returns the route with the longest prefix that the path begins with.
+func (x *Index) longestMatch(host, path, method string) *Route {
+	for end := x.longestPrefixEnd(path); end > 0; {
 		if r := x.nodes[path[:end]].match(host, method); r != nil {
 			return r
 		}
+		if path[end-1] == '/' {
+			end--
+		} else {
+			end = strings.LastIndexByte(path[:end], '/') + 1
+		}
 	}
-	return x.nodes["/"].match(host, method)
+	return nil
 }
 
 // longestPrefixEnd returns the length of the longest prefix of the path that has
-// no more elements than the longest path prefix of a route.
+// no more slashes than the longest path prefix of a route.
 func (x *Index) longestPrefixEnd(path string) int {
-	elements := 0
+	slashes := 0
 	for i := range len(path) {
 		if path[i] != '/' {
 			continue
 		}
-		if elements == x.maxElements {
+		if slashes == x.maxSlashes {
 			return i
 		}
-		elements++
+		slashes++
 	}
 	return len(path)
 }
@@ -109,6 +133,35 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
+// hasDotElement reports whether an element of the path, without what follows a semicolon, is one
+// or two dots.
+func hasDotElement(path string) bool {
+	for element := range strings.SplitSeq(path, "/") {
+		name, _, _ := strings.Cut(element, ";")
+		if name == "." || name == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// plainPath returns the path without empty elements, and without what follows a semicolon in its
+// element.
+func plainPath(path string) string {
+	var b strings.Builder
+	for element := range strings.SplitSeq(path[1:], "/") {
+		if name, _, _ := strings.Cut(element, ";"); name != "" {
+			b.WriteByte('/')
+			b.WriteString(name)
+		}
+	}
+	last := path[strings.LastIndexByte(path, '/')+1:]
+	if name, _, _ := strings.Cut(last, ";"); name == "" {
+		b.WriteByte('/')
+	}
+	return b.String()
+}
+
 // isCleanPath reports whether a path begins with a slash and has no empty or dot
 // elements, no backslash and no semicolon. Some servers treat a backslash as a
 // slash and a semicolon as the end of an element. A single trailing slash is
