Answer all requests of a planned stop, and refuse those that can't be finished

Cause: a request's time ended at its route's time-out, whatever was left of the grace; at the end only requests that held back answers of others were given up.

Why it works: what is left of the grace is part of each request's time. One that isn't likely to be answered within it is refused as not run before it is sent; what is in progress 0.25 s before the end is given up and answered truly. Also in serve.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -13,12 +13,22 @@
 // expired.
 const handoverTimeout = 5 * time.Second
 
+// answerReserve is the time before the end of a stop at which the requests in progress are given
+// up, so that their callers get an answer before the connections are cut.
+const answerReserve = 250 * time.Millisecond
+
 // Stop ends the instance gracefully: it reports that it isn't ready, continues
 // to serve for the balancer's lag, finishes the requests in progress and hands
 // over its rights. If the context ends first, the rest is cut short. It returns
 // an error if requests were cut short.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	var stopBy time.Time
+	if end, ok := ctx.Deadline(); ok {
+		stopBy = end.Add(-answerReserve)
+		giveUp := time.AfterFunc(time.Until(stopBy), d.handler.GiveUp)
+		defer giveUp.Stop()
+	}
+	d.publish(func(s *entry.Snapshot) { s.Leaving, s.StopBy = true, stopBy })
 	d.callers.Leave()
 	d.awaitBalancer(ctx)
 	err := d.callers.Shutdown(ctx)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -308,6 +308,7 @@
 // given the complete answer.
 func (x *exchange) relay(a *answer) error {
 	defer a.finish(target.Cancelled)
+	x.answering.Store(true)
 	if a.complete {
 		x.endClaim(a.response.StatusCode)
 		x.releasePermit("")
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -514,7 +514,7 @@
 // deadline, or because the caller went away.
 func (x *exchange) timeoutFailure() failedAttempt {
 	outcome := target.TimedOut
-	if x.request.Context().Err() != nil {
+	if x.request.Context().Err() != nil || x.handler.givenUp.Err() != nil {
 		outcome = target.Cancelled
 	}
 	refusal := mayHaveRunRefusal("timeout")
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -23,8 +23,10 @@
 	// while the process is paused or the machine is suspended, so such a process
 	// finds its document stale when it resumes.
 	TrustedUntil time.Duration
-	// Leaving is set during a graceful stop.
+	// Leaving is set during a graceful stop, at the end of which, at StopBy, the instance answers
+	// no more. StopBy may be zero.
 	Leaving bool
+	StopBy  time.Time
 }
 
 // Ready reports whether the instance has a document that isn't stale, so that it
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +73,8 @@
 	answered bool
 	// headSent is set once the answer's header was written to the caller.
 	headSent bool
+	// answering is set once there is an answer for the caller.
+	answering atomic.Bool
 }
 
 // serve performs all steps of the request. Its error wraps the *Refusal that the
@@ -189,13 +192,25 @@
 		timeout = asked
 	}
 	x.deadline = x.began.Add(timeout)
+	if s := x.handler.deps.Snapshots.Current(); !s.StopBy.IsZero() && s.StopBy.Before(x.deadline) {
+		x.deadline = s.StopBy
+	}
 	parent := x.request.Context()
 	if x.needsClaim() {
 		// A claimed request isn't cancelled when its caller disconnects, so that
 		// the caller can learn how it ended by resending it.
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(context.WithValue(parent, requestIDKey{}, x.id), x.deadline)
+	ctx, cancel := context.WithDeadline(context.WithValue(parent, requestIDKey{}, x.id), x.deadline)
+	ignore := context.AfterFunc(x.handler.givenUp, func() {
+		if !x.answering.Load() {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		ignore()
+		cancel()
+	}
 }
 
 // needsClaim reports whether the request must be claimed before it runs: it has an
@@ -212,13 +227,20 @@
 	}
 	control := http.NewResponseController(x.writer)
 	_ = control.SetReadDeadline(x.deadline)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	ignore := context.AfterFunc(x.handler.givenUp, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer func() {
+		ignore()
+		_ = control.SetReadDeadline(time.Time{})
+	}()
 	limit := x.snapshot.Index.Policy().MaximumBody
 	if limit <= 0 {
 		limit = DefaultMaxBodyBytes
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err != nil {
+		if x.handler.givenUp.Err() != nil {
+			return stoppingRefusal()
+		}
 		return bodyRefusal(err)
 	}
 	if x.handler.bufferedBytes.Add(int64(len(body))) > MaxBufferedBytes {
@@ -233,6 +255,16 @@
 	return nil
 }
 
+// stoppingRefusal returns the refusal of a request that came too late in a graceful stop.
+func stoppingRefusal() *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     ReasonStopping,
+		RetryAfter: StoppingRetryAfter,
+		Elsewhere:  true,
+	}
+}
+
 // releaseBody subtracts the body from the bytes in memory.
 func (x *exchange) releaseBody() {
 	x.handler.bufferedBytes.Add(-int64(len(x.body)))
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -60,6 +61,10 @@
 	relayClient   *forward.Client
 	relayRevision atomic.Uint64
 
+	// givenUp ends when the requests in progress are given up.
+	givenUp context.Context
+	giveUp  context.CancelFunc
+
 	keepAliveMu sync.Mutex
 	keepAlive   keepalive.Policy
 }
@@ -105,6 +110,7 @@
 		registry:     metrics.NewRegistry(),
 		idPrefix:     strconv.FormatUint(rand.Uint64(), 36),
 	}
+	h.givenUp, h.giveUp = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(h)
 	}
@@ -135,6 +141,11 @@
 	}
 }
 
+// GiveUp ends all requests that wait for an answer, now and from now on. Their callers are told
+// whether a target may have run them. It is called shortly before the process ends, which would
+// cut their connections.
+func (h *Handler) GiveUp() { h.giveUp() }
+
 // Independent implements ingress.Handler: requests that may be repeated may run beside
 // others of their connection.
 func (h *Handler) Independent(r *http.Request) bool {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -44,6 +44,14 @@
 	OutcomeUnknown = "unknown"
 )
 
+// ReasonStopping is the reason of refusals of requests that can't be finished before the instance
+// stops, and StoppingRetryAfter when their callers may come back: their next connection goes to
+// another instance.
+const (
+	ReasonStopping     = "stopping"
+	StoppingRetryAfter = 100 * time.Millisecond
+)
+
 // Refusal is the error that ends a request without a target's answer. Admission,
 // Grant, Claims, Claim, Dispatcher and Quarantine return it when they refuse a
 // request.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -72,6 +72,14 @@
 func (d dispatcher) Acquire(ctx context.Context, request entry.SlotRequest) (entry.Slot, error) {
 	g := d.gateway
 	for {
+		if g.stopsBefore(request) {
+			return nil, &entry.Refusal{
+				Status:     http.StatusServiceUnavailable,
+				Reason:     entry.ReasonStopping,
+				RetryAfter: entry.StoppingRetryAfter,
+				Elsewhere:  true,
+			}
+		}
 		acquired, limit := g.choose(request)
 		if acquired == nil {
 			return nil, g.noTarget(ctx, request)
@@ -93,6 +101,22 @@
 	}
 }
 
+// stopsBefore reports whether the instance stops before an attempt that begins now is likely to be
+// answered.
+func (g *Gateway) stopsBefore(request entry.SlotRequest) bool {
+	by := g.Current().StopBy
+	if by.IsZero() {
+		return false
+	}
+	likely := true
+	g.state.withLock(func() {
+		if s := g.state.services[request.Service]; s != nil {
+			likely = s.latencies.LikelyWithin(request.Route.Name, request.Route.Objective, time.Until(by), request.Repeatable)
+		}
+	})
+	return !likely
+}
+
 // choose chooses a target and returns a slot there, which has not started yet, and the
 // target's limit. The slot is nil if there is no target.
 func (g *Gateway) choose(request entry.SlotRequest) (*slot, meter.TargetLimit) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,8 +21,8 @@
 	// exitReserve is the part of Settings.StopTimeout that is left for the exit of the
 	// process.
 	exitReserve = 300 * time.Millisecond
-	// answerReserve is the time before that in which answers leave that were held back by
-	// earlier requests of their connections.
+	// answerReserve is the time before that in which the requests that are given up are answered,
+	// and answers leave that were held back by earlier requests of their connections.
 	answerReserve = 250 * time.Millisecond
 	// relayedPollPeriod is the time between two looks at the requests of other instances
 	// during a stop.
@@ -73,18 +73,23 @@
 
 // Stop ends the instance gracefully: it reports that it is not ready, deregisters,
 // serves new connections as long as the balancer may send some, and waits for requests
-// in progress. It returns an error if requests were cut off because
+// in progress. Requests that aren't likely to be answered in time are refused at once, and those
+// that aren't in the end are told so. It returns an error if requests were cut off because
 // Settings.StopTimeout was over or ctx ended.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.leaving.Store(true)
-	g.publish(func(s *entry.Snapshot) { s.Leaving = true })
+	answerTime := g.settings.StopTimeout - exitReserve - answerReserve
+	g.publish(func(s *entry.Snapshot) { s.Leaving, s.StopBy = true, time.Now().Add(answerTime) })
 	g.callers.Leave()
 	// keepMembership then revokes the lease, so that other instances stop sending
 	// decision requests here. The revocation takes much less time than the stop.
 	g.deregister()
 	ctx, cancel := context.WithTimeout(ctx, g.settings.StopTimeout-exitReserve)
 	defer cancel()
-	giveUp := time.AfterFunc(g.settings.StopTimeout-exitReserve-answerReserve, g.contained(g.callers.GiveUpBlocking))
+	giveUp := time.AfterFunc(answerTime, g.contained(func() {
+		g.entry.GiveUp()
+		g.callers.GiveUpBlocking()
+	}))
 	defer giveUp.Stop()
 	sleep(ctx, balancerLag)
 	err := g.shutdown(ctx)
--- a/pkg/outlier/latencies.go
+++ b/pkg/outlier/latencies.go
@@ -94,6 +94,17 @@
 	return overdue
 }
 
+// LikelyWithin reports whether a request on the route is likely to be answered within a time. At
+// a sound target about one in ten of those that may not be repeated takes longer than is assumed,
+// and about one in four of the others, whose callers can ask again.
+func (l *Latencies) LikelyWithin(route string, objective, left time.Duration, repeatable bool) bool {
+	percent := overdueFactor * 100
+	if repeatable {
+		percent = minOverduePercent
+	}
+	return left >= l.Expected(route, objective)*time.Duration(percent)/100
+}
+
 // EffectiveOutcome returns the outcome to record for a target. A request that timed
 // out before the route's response timeout had passed is returned as Cancelled,
 // because its own short deadline says nothing about the target.
--- a/pkg/outlier/latencies_test.go
+++ b/pkg/outlier/latencies_test.go
@@ -142,3 +142,31 @@
 		})
 	}
 }
+
+// Guards against requests that are begun shortly before their instance stops, and against refusing
+// those that would be finished.
+func TestLikelyWithin(t *testing.T) {
+	tests := []struct {
+		name       string
+		samples    int
+		left       time.Duration
+		repeatable bool
+		want       bool
+	}{
+		{name: "write, twice the usual", samples: 5, left: 2 * time.Second, want: true},
+		{name: "write, less", samples: 5, left: 1900 * time.Millisecond},
+		{name: "read, once and a half", samples: 5, left: 1500 * time.Millisecond, repeatable: true, want: true},
+		{name: "read, less", samples: 5, left: 1400 * time.Millisecond, repeatable: true},
+		{name: "the usual isn't known, as the objective says", left: 4 * time.Second, want: true},
+		{name: "the usual isn't known, less than the objective says", left: 3900 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := outlier.NewLatencies()
+			for range tt.samples {
+				l.Add("r", time.Second)
+			}
+			is.New(t).Equal(l.LikelyWithin("r", 6*time.Second, tt.left, tt.repeatable), tt.want)
+		})
+	}
+}
