Count request bodies against the instance's memory before they are read

Cause: bodies were read whole by doubling a buffer, counted only when they were complete, and against a constant; no setting of memory was read.

Why it works: an account with half of the memory of the settings counts a body before its bytes are read; what finds no room is refused as not run. Room is kept for small requests and for other organisations. A body takes its length and no more. A refused caller's connection is read on for up to 8 MB, so that it gets the answer.

--- a/cmd/dandelionmux/main.go
+++ b/cmd/dandelionmux/main.go
@@ -18,12 +18,14 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-faster/errors"
 
 	"dandelionmux/internal/daemon"
 	"dandelionmux/internal/settings"
+	"dandelionmux/pkg/memory"
 )
 
 // Exit codes.
@@ -135,12 +137,20 @@
 	})), nil
 }
 
+// limitHeap lets the garbage collector work harder before the process uses up its memory.
+func limitHeap(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(memory.SoftLimitOf(memoryBytes))
+	}
+}
+
 // serveUntilSignal runs an instance until SIGTERM or an interrupt, and then stops it
 // gracefully. A second signal ends the graceful stop.
 func serveUntilSignal(s settings.Settings, logger *slog.Logger, stdout io.Writer) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	limitHeap(s.MemoryBytes())
 	d, err := daemon.Start(s, daemon.WithLogger(logger))
 	if err != nil {
 		return err
--- a/cmd/dandelionmux/platform.go
+++ b/cmd/dandelionmux/platform.go
@@ -95,6 +95,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	limitHeap(s.MemoryBytes)
 	g, err := gateway.Start(s, platform.Adapters(s), gateway.WithLogger(logger), gateway.WithMetrics(registry))
 	if err != nil {
 		return err
--- a/internal/control/strikes.go
+++ b/internal/control/strikes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -126,7 +125,7 @@
 }
 
 func (p unrestrictedPermit) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(p.outline(), sha256.Sum256(p.identity.Body))
+	return quarantine.FingerprintOf(p.outline(), p.identity.BodyDigest())
 }
 
 // Deadline implements entry.Permit.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"dandelionmux/internal/settings"
 	"dandelionmux/pkg/fleet"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/memory"
 	"dandelionmux/pkg/revision"
 	"dandelionmux/pkg/share"
 )
@@ -203,10 +204,19 @@
 		entry.WithLogger(d.logger),
 		entry.WithDecisionLogging(d.settings.LogDecisions),
 		entry.WithMaxRequests(d.settings.MaximumRequests),
+		entry.WithMemory(memory.NewAccount(memoryLimit(d.settings))),
 		entry.WithMetrics(d.registry))
 	return nil
 }
 
+// memoryLimit returns the limit of what is held for requests, in bytes.
+func memoryLimit(s settings.Settings) int64 {
+	if n := s.MemoryBytes(); n > 0 {
+		return memory.LimitOf(n)
+	}
+	return entry.DefaultMaxBytes
+}
+
 // assembleControl creates the control loop and the network that it uses.
 func (d *Daemon) assembleControl() {
 	adapter := &network{
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -445,9 +444,9 @@
 
 // setBody gives a request the body that the caller sent.
 func (x *exchange) setBody(out *http.Request) {
-	if len(x.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(x.body))
-		out.ContentLength = int64(len(x.body))
+	if x.body.size > 0 {
+		out.Body = io.NopCloser(x.body.reader())
+		out.ContentLength = x.body.size
 	}
 }
 
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -179,7 +180,8 @@
 	Method       string
 	// Path includes the query.
 	Path string
-	Body []byte
+	// BodyDigest returns the SHA-256 digest of the body.
+	BodyDigest func() [sha256.Size]byte
 	// Deadline is when the request must be answered. It isn't compared.
 	Deadline time.Time
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -11,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
@@ -36,7 +33,7 @@
 	service      string
 	organisation string
 	keyDigest    document.KeyDigest
-	body         []byte
+	body         requestBody
 	deadline     time.Time
 	repeatable   bool
 
@@ -88,10 +85,11 @@
 	}
 	ctx, cancel := x.context()
 	defer cancel()
-	if err := x.readBody(); err != nil {
+	held := x.handler.memory.Open(x.organisation)
+	defer held.Close()
+	if err := x.readBody(held); err != nil {
 		return err
 	}
-	defer x.releaseBody()
 	if err := x.admit(ctx); err != nil {
 		return err
 	}
@@ -219,42 +217,6 @@
 	return !x.repeatable && x.relayed == nil && x.request.Header.Get("Idempotency-Key") != ""
 }
 
-// readBody reads the whole body into memory, so that a slow caller occupies no
-// slot of a target and the body can be sent again in a retry.
-func (x *exchange) readBody() error {
-	if x.request.Body == nil || x.request.Body == http.NoBody {
-		return nil
-	}
-	control := http.NewResponseController(x.writer)
-	_ = control.SetReadDeadline(x.deadline)
-	ignore := context.AfterFunc(x.handler.givenUp, func() { _ = control.SetReadDeadline(time.Now()) })
-	defer func() {
-		ignore()
-		_ = control.SetReadDeadline(time.Time{})
-	}()
-	limit := x.snapshot.Index.Policy().MaximumBody
-	if limit <= 0 {
-		limit = DefaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	if err != nil {
-		if x.handler.givenUp.Err() != nil {
-			return stoppingRefusal()
-		}
-		return bodyRefusal(err)
-	}
-	if x.handler.bufferedBytes.Add(int64(len(body))) > MaxBufferedBytes {
-		x.handler.bufferedBytes.Add(-int64(len(body)))
-		return &Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Reason:     "instance-full",
-			RetryAfter: time.Second,
-		}
-	}
-	x.body = body
-	return nil
-}
-
 // stoppingRefusal returns the refusal of a request that came too late in a graceful stop.
 func stoppingRefusal() *Refusal {
 	return &Refusal{
@@ -265,26 +227,6 @@
 	}
 }
 
-// releaseBody subtracts the body from the bytes in memory.
-func (x *exchange) releaseBody() {
-	x.handler.bufferedBytes.Add(-int64(len(x.body)))
-}
-
-// bodyRefusal returns the refusal for an error of reading the body.
-func bodyRefusal(err error) *Refusal {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return &Refusal{
-			Status: http.StatusRequestEntityTooLarge,
-			Reason: "body-too-large",
-		}
-	}
-	return &Refusal{
-		Status: http.StatusBadRequest,
-		Reason: "body-not-read",
-	}
-}
-
 // admit takes the request's cost from its organisation's rate.
 func (x *exchange) admit(ctx context.Context) error {
 	if x.route.Open || x.relayed != nil {
@@ -314,7 +256,7 @@
 		Route:        x.route.Name,
 		Method:       x.request.Method,
 		Path:         x.out.URL.RequestURI(),
-		Body:         x.body,
+		BodyDigest:   x.body.digest,
 		Deadline:     x.deadline,
 	})
 	if err != nil {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -18,6 +18,7 @@
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/keepalive"
+	"dandelionmux/pkg/memory"
 )
 
 // Limits and defaults of a Handler.
@@ -28,9 +29,9 @@
 	DefaultMaxBodyBytes = 1 << 20
 	// DefaultMaxRequests limits the requests in progress.
 	DefaultMaxRequests = 4096
-	// MaxBufferedBytes limits the total size of the request bodies that have been
-	// read completely; bodies still being read don't count.
-	MaxBufferedBytes = 256 << 20
+	// DefaultMaxBytes limits the total size of the request bodies in memory, also of those that
+	// are still coming in.
+	DefaultMaxBytes = 256 << 20
 	// writeSlack is how long after a request's deadline its answer may still be
 	// written to a slow caller.
 	writeSlack = 30 * time.Second
@@ -49,8 +50,9 @@
 
 	running atomic.Int64
 	// relayed is the number of requests of other instances among running.
-	relayed       atomic.Int64
-	bufferedBytes atomic.Int64
+	relayed atomic.Int64
+	// memory counts the bodies in memory.
+	memory *memory.Account
 	// idPrefix is random and distinguishes the request ids of this process from
 	// those of others; sequence numbers them.
 	idPrefix string
@@ -89,6 +91,12 @@
 	return func(h *Handler) { h.maxRequests = int64(n) }
 }
 
+// WithMemory sets the account in which the requests' bodies are counted. By default it is a new one
+// with a limit of DefaultMaxBytes.
+func WithMemory(a *memory.Account) Option {
+	return func(h *Handler) { h.memory = a }
+}
+
 // WithClient sets the client that sends attempts to targets.
 func WithClient(c *forward.Client) Option {
 	return func(h *Handler) { h.client = c }
@@ -107,6 +115,7 @@
 		dialect:      DefaultDialect(),
 		logDecisions: true,
 		maxRequests:  DefaultMaxRequests,
+		memory:       memory.NewAccount(DefaultMaxBytes),
 		registry:     metrics.NewRegistry(),
 		idPrefix:     strconv.FormatUint(rand.Uint64(), 36),
 	}
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -485,7 +485,8 @@
 func (f *fakeQuarantine) Acquire(_ context.Context, i entry.RequestIdentity) (entry.Permit, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	id := i.Path + string(i.Body)
+	digest := i.BodyDigest()
+	id := i.Path + string(digest[:])
 	if f.crashes[id] >= 2 {
 		return nil, &entry.Refusal{
 			Status:     http.StatusServiceUnavailable,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"dandelionmux/internal/forward"
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/memory"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/quarantine"
 )
@@ -211,6 +212,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.tasks = &errgroup.Group{}
+	account := newAccount(g.settings.MemoryBytes, g.registry)
 	g.entry = entry.New(entry.Dependencies{
 		Snapshots:  g,
 		Admission:  admission{g},
@@ -219,6 +221,7 @@
 		Quarantine: quarantineCheck{g},
 		Relays:     relays{g},
 	},
+		entry.WithMemory(account),
 		entry.WithDialect(g.adapters.Dialect),
 		entry.WithLogger(g.logger),
 		entry.WithMetrics(g.registry),
@@ -244,6 +247,24 @@
 		slog.String("Peer", string(g.self.Address)))
 }
 
+// newAccount returns the account of what is held for requests, and registers gauges of it.
+func newAccount(memoryBytes int64, r metrics.Registry) *memory.Account {
+	limit := int64(entry.DefaultMaxBytes)
+	if memoryBytes > 0 {
+		limit = memory.LimitOf(memoryBytes)
+	}
+	a := memory.NewAccount(limit)
+	metrics.NewRegisteredFunctionalGauge("Memory.HeldBytes", r, func() int64 {
+		now, _ := a.Used()
+		return now
+	})
+	metrics.NewRegisteredFunctionalGauge("Memory.HeldBytes.Peak", r, func() int64 {
+		_, peak := a.Used()
+		return peak
+	})
+	return a
+}
+
 // goTask runs f in a goroutine that Close waits for.
 func (g *Gateway) goTask(f func()) {
 	g.tasks.Go(func() error {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -45,7 +44,7 @@
 func (q quarantineCheck) Acquire(ctx context.Context, identity entry.RequestIdentity) (entry.Permit, error) {
 	g := q.gateway
 	outline := quarantine.OutlineOf(identity.Organisation, identity.Route, identity.Method, identity.Path)
-	f := quarantine.FingerprintOf(outline, sha256.Sum256(identity.Body))
+	f := quarantine.FingerprintOf(outline, identity.BodyDigest())
 	var remaining time.Duration
 	suspect := false
 	g.state.withLock(func() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,9 @@
 	// Capacity is how much work the instance can do, in processor cores; zero if that isn't
 	// known. Instances with more of it read the store for the others.
 	Capacity float64
+	// MemoryBytes is the memory that the process may use; zero if that isn't known. What it
+	// holds for requests is bounded by a part of it.
+	MemoryBytes int64
 	// StoreAddress is the address of the platform's store, "IP:port".
 	StoreAddress string
 	// MinLeaseTerm is the shortest lease term that the store grants.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -23,9 +23,10 @@
 const (
 	// lingerTimeout is how long a connection is read after its last answer, and
 	// maxLingerBytes how much. A connection that is closed with unread bytes is reset,
-	// and the caller may lose the answer.
+	// and the caller may lose the answer. A caller whose body was refused has some megabytes on
+	// their way before it reads that.
 	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 256 << 10
+	maxLingerBytes = 8 << 20
 )
 
 // longAgo is a deadline that interrupts a read.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -66,6 +66,9 @@
 const (
 	maxDuration = time.Hour
 	maxRequests = 1 << 20
+	// minMemory and maxMemory bound the memory of a process, in megabytes.
+	minMemory = 64
+	maxMemory = 1 << 20
 )
 
 // checker collects the problems that its methods find in single settings.
@@ -94,6 +97,9 @@
 	if s.MaximumRequests < 1 || s.MaximumRequests > maxRequests {
 		c.add("MaximumRequests", fmt.Sprint(s.MaximumRequests), fmt.Sprintf("1 to %d requests", maxRequests))
 	}
+	if s.Memory != 0 && (s.Memory < minMemory || s.Memory > maxMemory) {
+		c.add("Memory", fmt.Sprint(s.Memory), fmt.Sprintf("0, or %d to %d megabytes", minMemory, maxMemory))
+	}
 	if _, err := ParseLevel(s.LogLevel); err != nil {
 		c.add("LogLevel", s.LogLevel, "Debug, Info, Warn or Error")
 	}
--- a/internal/settings/format_test.go
+++ b/internal/settings/format_test.go
@@ -26,6 +26,7 @@
 	BalancerLag:     4 * time.Second,
 	StopTimeout:     32 * time.Second,
 	MaximumRequests: 9,
+	Memory:          700,
 	LogLevel:        "Warn",
 	LogDecisions:    false,
 }
@@ -46,6 +47,7 @@
 		"-balancer-lag", "4s",
 		"-stop-timeout", "32s",
 		"-maximum-requests", "9",
+		"-memory", "700",
 		"-log-level", "Warn",
 		"-log-decisions=false",
 	}
@@ -62,6 +64,7 @@
 "BalancerLag": "4s",
 "StopTimeout": "32s",
 "MaximumRequests": 9,
+"Memory": 700,
 "LogLevel": "Warn",
 "LogDecisions": false
 }`
@@ -78,6 +81,7 @@
 		"DANDELIONMUX_BALANCER_LAG":     "4s",
 		"DANDELIONMUX_STOP_TIMEOUT":     "32s",
 		"DANDELIONMUX_MAXIMUM_REQUESTS": "9",
+		"DANDELIONMUX_MEMORY":           "700",
 		"DANDELIONMUX_LOG_LEVEL":        "Warn",
 		"DANDELIONMUX_LOG_DECISIONS":    "false",
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
+	"golang.org/x/sys/unix"
 )
 
 // EnvironmentPrefix is the prefix of the names of environment variables.
@@ -44,6 +45,9 @@
 	StopTimeout time.Duration
 	// MaximumRequests is the maximum number of requests in progress.
 	MaximumRequests int
+	// Memory is the memory that the process may use, in megabytes; zero means a half of the
+	// machine's.
+	Memory int
 	// LogLevel is Debug, Info, Warn or Error.
 	LogLevel string
 	// LogDecisions turns on a log line for each routing decision.
@@ -72,6 +76,7 @@
 	set.DurationVar(&s.BalancerLag, "balancer-lag", 2*time.Second, "how long the load balancer may send connections to a leaving instance")
 	set.DurationVar(&s.StopTimeout, "stop-timeout", 30*time.Second, "maximum duration of a graceful stop")
 	set.IntVar(&s.MaximumRequests, "maximum-requests", 4096, "maximum number of requests in progress")
+	set.IntVar(&s.Memory, "memory", 0, "memory that the process may use, in megabytes; 0 means a half of the machine's")
 	set.StringVar(&s.LogLevel, "log-level", "Info", "Debug, Info, Warn or Error")
 	set.BoolVar(&s.LogDecisions, "log-decisions", true, "log a line for each routing decision")
 	err := ff.Parse(set, arguments,
@@ -94,6 +99,22 @@
 	return s, Check(s)
 }
 
+// megabyte is the unit of Settings.Memory, in bytes.
+const megabyte = 1 << 20
+
+// MemoryBytes returns the memory that the process may use, in bytes; zero if neither the setting
+// nor the machine tells.
+func (s Settings) MemoryBytes() int64 {
+	if s.Memory > 0 {
+		return int64(s.Memory) * megabyte
+	}
+	var machine unix.Sysinfo_t
+	if err := unix.Sysinfo(&machine); err != nil {
+		return 0
+	}
+	return int64(uint64(machine.Totalram) * uint64(machine.Unit) / 2)
+}
+
 // splitList splits a comma-separated list, trims spaces and drops empty elements.
 func splitList(list string) []string {
 	var parts []string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,6 +57,7 @@
 		{"stop timeout shorter than the balancer lag", []string{"-stop-timeout", "1s", "-balancer-lag", "5s"}, `StopTimeout = "1s": want at least BalancerLag, 5s`},
 		{"stop timeout too long", []string{"-stop-timeout", "100h"}, `StopTimeout = "100h0m0s": want 1s to 1h0m0s`},
 		{"maximum of zero requests", []string{"-maximum-requests", "0"}, `MaximumRequests = "0": want 1 to 1048576 requests`},
+		{"too little memory", []string{"-memory", "3"}, `Memory = "3": want 0, or 64 to 1048576 megabytes`},
 		{"unknown log level", []string{"-log-level", "Loud"}, `LogLevel = "Loud": want Debug, Info, Warn or Error`},
 		{"unknown flag", []string{"-colour", "red"}, `colour`},
 		{"not a duration", []string{"-list-lag", "soon"}, `list-lag`},
