Close an error answer that was kept when another attempt wins

Callers would see a target with a slot fewer for as long as the connection lasts: an error answer of over 64 KB that is kept as a fallback wasn't closed when an attempt beside it was answered. TestErrorAnswerIsClosedWhenAnotherAttemptWins failed before (10 slots taken, 8 given back).

--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -97,6 +97,7 @@
 			r.stopWatching(e.number)
 			switch outcome := e.outcome.(type) {
 			case usableAnswer:
+				r.last.fallback.discard()
 				x.sentAttempts += len(r.running)
 				x.mayHaveRun = true
 				x.answered = outcome.answer.response.StatusCode < http.StatusInternalServerError
--- a/internal/entry/race_test.go
+++ b/internal/entry/race_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -277,3 +278,49 @@
 		}
 	}
 }
+
+// countedSlot counts the slots that are given back.
+type countedSlot struct {
+	entry.Slot
+	released *atomic.Int64
+}
+
+// Release implements entry.Slot.
+func (s countedSlot) Release(r entry.AttemptResult) {
+	s.released.Add(1)
+	s.Slot.Release(r)
+}
+
+// Guards against a target whose slot stays taken because its long error answer was kept, in case
+// no other attempt succeeds, and another one did.
+func TestErrorAnswerIsClosedWhenAnotherAttemptWins(t *testing.T) {
+	const errorBytes = 300 << 10
+	is := is.New(t)
+	env := newOverdueEnv(t, 2, 50*time.Millisecond)
+	env.targets[0].SetFaults(standin.TargetFaults{SlowFactor: 400})
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(entry.RequestIDHeader, r.Header.Get(entry.RequestIDHeader))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, errorBytes))
+	}))
+	defer failing.Close()
+	env.document.Services[0].Targets[1].Address = failing.Listener.Addr().String()
+	env.publish()
+	var taken, released atomic.Int64
+	wrap := func(s entry.Slot) entry.Slot {
+		taken.Add(1)
+		return countedSlot{
+			Slot:     s,
+			released: &released,
+		}
+	}
+	env.wrap.Store(&wrap)
+	for range 6 {
+		is.Equal(env.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+	}
+	for until := time.Now().Add(timeout); released.Load() < taken.Load(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d slots taken, %d given back", taken.Load(), released.Load())
+		}
+	}
+}
