Remember a target's rest while its registration lapses and comes back

Targets would see requests although they had asked for none (503 with Retry-After, BUDGET): the table forgot the rest with the registration. It keeps it by name and address until it is over. TestRestOutlastsTheRegistration failed before.

--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -76,6 +76,15 @@
 	// at steppedAt.
 	pending   []*Pending
 	steppedAt time.Duration
+	// rests holds until when targets rest, by name, also while they aren't in the list: their
+	// registration may lapse and come back.
+	rests map[string]targetRest
+}
+
+// targetRest is until when a target at an address rests.
+type targetRest struct {
+	address string
+	until   time.Duration
 }
 
 // targetError is a server error, a truncated answer or a timeout of a target.
@@ -158,6 +167,7 @@
 		zone:    zone,
 		random:  random,
 		targets: map[string]*targetState{},
+		rests:   map[string]targetRest{},
 	}
 }
 
@@ -165,12 +175,24 @@
 // also keeps its recorded state.
 func (t *Table) Update(now time.Duration, list []target.Registration) {
 	old := t.targets
+	maps.DeleteFunc(t.rests, func(_ string, r targetRest) bool { return now >= r.until })
+	for name, s := range old {
+		if now < s.restUntil {
+			t.rests[name] = targetRest{
+				address: s.Address,
+				until:   s.restUntil,
+			}
+		}
+	}
 	t.targets = make(map[string]*targetState, len(list))
 	t.order = t.order[:0]
 	for _, r := range list {
 		s := old[r.Target.Name]
 		if s == nil || s.Address != r.Target.Address {
 			s = &targetState{}
+			if asked := t.rests[r.Target.Name]; asked.address == r.Target.Address {
+				s.restUntil = asked.until
+			}
 		}
 		maps.DeleteFunc(s.peerLoads, func(_ string, p peerLoad) bool { return now >= p.expires })
 		s.Target = r.Target
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -675,3 +675,43 @@
 		})
 	}
 }
+
+// Guards against requests to a target that wants none for a time, because its registration lapsed
+// and came back meanwhile.
+func TestRestOutlastsTheRegistration(t *testing.T) {
+	registration := func(address string) []target.Registration {
+		return []target.Registration{{
+			Service: "desk",
+			Target: document.Target{
+				Name:    "desk-00",
+				Address: address,
+				Zone:    "a",
+				Slots:   6,
+			},
+		}}
+	}
+	tests := []struct {
+		name    string
+		address string
+		at      time.Duration
+		chosen  bool
+	}{
+		{name: "it rests still", address: "10.0.0.0:80", at: 3 * time.Second},
+		{name: "its rest is over", address: "10.0.0.0:80", at: 6 * time.Second, chosen: true},
+		{name: "another address", address: "10.0.0.9:80", at: 3 * time.Second, chosen: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := outlier.New("a", rand.New(rand.NewPCG(1, 2)))
+			table.Update(0, registration("10.0.0.0:80"))
+			table.Rest(5*time.Second, "desk-00")
+			table.Update(time.Second, nil)
+			table.Update(1500*time.Millisecond, nil)
+			table.Update(2*time.Second, registration(tt.address))
+			_, ok := table.Choose(tt.at, outlier.Request{})
+			is.Equal(ok, tt.chosen)
+			is.Equal(table.MaySend(tt.at, "desk-00"), tt.chosen)
+		})
+	}
+}
