--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -274,8 +274,9 @@
 
 // Dependencies are the parts of the instance that a Handler uses.
 type Dependencies struct {
-	Snapshots  SnapshotSource
-	Admission  Admission
+	Snapshots SnapshotSource
+	Admission Admission
+	// Claims may be nil: then the header Idempotency-Key is forwarded and has no other meaning.
 	Claims     Claims
 	Dispatcher Dispatcher
 	Quarantine Quarantine
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -214,7 +214,7 @@
 // needsClaim reports whether the request must be claimed before it runs: it has an
 // Idempotency-Key and may not be repeated otherwise.
 func (x *exchange) needsClaim() bool {
-	return !x.repeatable && x.relayed == nil && x.request.Header.Get("Idempotency-Key") != ""
+	return x.handler.deps.Claims != nil && !x.repeatable && x.relayed == nil && x.request.Header.Get("Idempotency-Key") != ""
 }
 
 // stoppingRefusal returns the refusal of a request that came too late in a graceful stop.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,15 +45,3 @@
 // Return implements entry.Grant. Unused units stay spent, because giving them back
 // would cost a message for each refused request.
 func (grantedUnits) Return() {}
-
-// claims implements entry.Claims. It refuses every claim: without state that outlives
-// an instance, no Idempotency-Key can be honoured.
-type claims struct{}
-
-// Claim implements entry.Claims.
-func (claims) Claim(context.Context, entry.ClaimKey) (entry.Claim, error) {
-	return nil, &entry.Refusal{
-		Status: http.StatusServiceUnavailable,
-		Reason: "no-claims",
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,6 @@
 	g.entry = entry.New(entry.Dependencies{
 		Snapshots:  g,
 		Admission:  admission{g},
-		Claims:     claims{},
 		Dispatcher: dispatcher{g},
 		Quarantine: quarantineCheck{g},
 		Relays:     relays{g},
