Bound each page of a list of the store, not the whole list

Callers would see an instance that never becomes ready: a list of many or large pages that took longer than 4 s was begun anew each time.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -122,8 +122,9 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	answer, err := g.callStore(ctx, store.List{
-		Prefix:     memberPrefix,
-		AllowStale: allowStale,
+		Prefix:      memberPrefix,
+		AllowStale:  allowStale,
+		PageTimeout: pageTimeout,
 	})
 	if err != nil {
 		return mirror.Position{}, false, err
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -25,8 +25,10 @@
 	// callTimeout bounds a call to the store, which usually answers in 4 ms and in 60
 	// times that when it is slow.
 	callTimeout = 1500 * time.Millisecond
-	// listTimeout bounds a complete list of the store, which has several pages.
-	listTimeout = 4 * time.Second
+	// pageTimeout bounds each page of a list of the store, and listTimeout the whole list: an
+	// instance with little of a processor needs a while for many pages.
+	pageTimeout = 4 * time.Second
+	listTimeout = 30 * time.Second
 	// watchTimeout bounds one watch. A dead connection is detected earlier, by
 	// cancelStalledWatch.
 	watchTimeout = 10 * time.Second
@@ -76,7 +78,9 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	sentAt := boot.Now()
-	answer, err := g.callStore(ctx, store.List{})
+	answer, err := g.callStore(ctx, store.List{
+		PageTimeout: pageTimeout,
+	})
 	if err != nil {
 		return err
 	}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -59,6 +59,9 @@
 	// AllowStale lets the store answer with an older state, up to some seconds, which is
 	// cheaper. The answer's Counter tells how old it is.
 	AllowStale bool
+	// PageTimeout bounds each of the store's answers, of which a large list needs several; zero
+	// means that only the context's deadline counts.
+	PageTimeout time.Duration
 }
 
 // Swap writes one key if its version is still Expected (compare and swap). Its
