--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -103,9 +103,9 @@
 			b.size += int64(n)
 		}
 		switch {
-		case err == io.EOF && (length < 0 || b.size == length), err == nil && b.size == length:
+		case b.size == length, length < 0 && errors.Is(err, io.EOF):
 			return b, nil
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return requestBody{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return requestBody{}, err
--- a/internal/entry/body_internal_test.go
+++ b/internal/entry/body_internal_test.go
@@ -43,7 +43,7 @@
 			a := memory.NewAccount(room)
 			held := a.Open("orchard")
 			content := bytes.Repeat([]byte("abcdefg"), tt.size/7+1)[:tt.size]
-			var r io.Reader = iotest.HalfReader(bytes.NewReader(content))
+			r := iotest.HalfReader(bytes.NewReader(content))
 			if tt.broke {
 				r = io.MultiReader(io.LimitReader(r, int64(tt.size/2)), iotest.ErrReader(io.ErrUnexpectedEOF))
 			}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -274,11 +274,8 @@
 	st.loading = initial
 	targetsChanged, membersChanged := st.applyEntries(now, changes, outage || setBack)
 	st.loading = false
-	if initial && !st.mirror.Empty() {
-		st.gateway.logger.Info("store content received",
-			slog.Int64("Counter", at.Counter),
-			slog.Int("Members", len(st.members)),
-			slog.Int("Targets", st.targets.Len()))
+	if initial {
+		st.logInitialContent()
 	}
 	if membersChanged {
 		st.rebuildRoster()
@@ -299,6 +296,17 @@
 	return membersChanged
 }
 
+// logInitialContent logs the first content, if there is any yet.
+func (st *localState) logInitialContent() {
+	if st.mirror.Empty() {
+		return
+	}
+	st.gateway.logger.Info("store content received",
+		slog.Int64("Counter", st.mirror.Position().Counter),
+		slog.Int("Members", len(st.members)),
+		slog.Int("Targets", st.targets.Len()))
+}
+
 // applyEntries applies changed and removed entries of the store. outage says that entries
 // may have been removed only because the store was unreachable or set back.
 func (st *localState) applyEntries(now time.Duration, changes []store.Entry, outage bool) (targetsChanged, membersChanged bool) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,7 +112,7 @@
 	if err := unix.Sysinfo(&machine); err != nil {
 		return 0
 	}
-	return int64(uint64(machine.Totalram) * uint64(machine.Unit) / 2)
+	return int64(machine.Totalram * uint64(machine.Unit) / 2)
 }
 
 // splitList splits a comma-separated list, trims spaces and drops empty elements.
