Take the digest of a copy when it is answered, not when it was encoded

Kept answers carried the digest of their time, so a mirror that had been listed anew at the same position still seemed to differ, and the reverse.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -20,5 +20,12 @@
 	return ok
 }
 
+// Counter returns the store's counter up to which the instance has all changes.
+func (g *Gateway) Counter() int64 {
+	counter := int64(0)
+	g.state.withLock(func() { counter = g.state.mirror.Position().Counter })
+	return counter
+}
+
 // Reading reports whether the instance reads the store for its zone.
 func (g *Gateway) Reading() bool { return g.readingStore.Load() }
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -92,6 +92,8 @@
 	// Confirmation identifies the confirming read at the instance that answers; zero if it
 	// gives none.
 	Confirmation uint64
+	// Digest is that of the mirror at its position; zero if the instance gives none.
+	Digest uint64
 }
 
 // copiedFrom is what the last answer of an instance says.
@@ -125,7 +127,6 @@
 type encodedEntries struct {
 	after, at mirror.Position
 	full      bool
-	digest    uint64
 	content   []byte
 	// compressed is content compressed, as a field; nil if that isn't worth it.
 	compressed []byte
@@ -247,7 +248,13 @@
 	if e.compressed != nil && mayCompress {
 		content = e.compressed
 	}
-	c.At, c.Full, c.Digest = e.at, e.full, e.digest
+	c.At, c.Full = e.at, e.full
+	g.state.withLock(func() {
+		// The digest isn't kept with the entries: it must show what the mirror holds now.
+		if m := g.state.mirror; m.Position() == c.At {
+			c.Digest = m.Digest()
+		}
+	})
 	_, _ = w.Write(slices.Concat(encodeMirrorCopy(c), content, e.later))
 }
 
@@ -276,7 +283,6 @@
 		after:   after,
 		at:      d.At,
 		full:    d.Full,
-		digest:  d.Digest,
 		content: appendEntries(nil, d.Entries),
 	}
 	if after.Counter == 0 && len(e.content) >= minCompressedBytes {
@@ -308,7 +314,7 @@
 	if !current || later.Full || len(later.Entries) > maxLaterEntries {
 		return encodedEntries{}, false
 	}
-	e.at, e.digest, e.later = later.At, later.Digest, appendEntries(nil, later.Entries)
+	e.at, e.later = later.At, appendEntries(nil, later.Entries)
 	return e, true
 }
 
--- a/internal/gateway/mirrorcopy_test.go
+++ b/internal/gateway/mirrorcopy_test.go
@@ -173,6 +173,11 @@
 				i = slices.IndexFunc(f.instances, func(g *gateway.Gateway) bool { return g.Reading() == reading })
 				return i >= 0
 			})
+			// Others that are behind would take the loss for a removal.
+			f.await(func() bool {
+				_, counter := f.memory.content()
+				return !slices.ContainsFunc(f.instances, func(g *gateway.Gateway) bool { return g.Counter() != counter })
+			})
 			const key = targetPrefix + "desk-b"
 			f.instances[i].Forget(key)
 			is.True(!f.instances[i].Holds(key))
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -108,8 +108,6 @@
 	Full    bool
 	Entries []store.Entry
 	At      Position
-	// Digest is that of the mirror which gave the delta; zero if it gives none.
-	Digest uint64
 }
 
 // Option configures a Mirror.
@@ -400,8 +398,7 @@
 // zero. A follower that is ahead of the mirror gets an empty Delta.
 func (m *Mirror) Since(at Position) Delta {
 	d := Delta{
-		At:     m.at,
-		Digest: m.digest,
+		At: m.at,
 	}
 	if at.after(m.at) {
 		return d
