Blame no target for attempts that end because the instance stops

Read in the diff: an attempt that was still connecting when its instance gave its requests up at the end of a stop counted as one whose target refused the connection, and the others would have been told so. It counts as cancelled, like one whose caller has left. Read, not shown by a test of its own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -496,7 +496,7 @@
 // unsentFailure returns the outcome of an attempt of which no byte was sent.
 func (p *placedAttempt) unsentFailure(err *forward.Error) failedAttempt {
 	outcome := target.Refused
-	if p.exchange.request.Context().Err() != nil {
+	if p.exchange.isGivenUp() {
 		outcome = target.Cancelled
 	}
 	return failedAttempt{
@@ -509,11 +509,17 @@
 	}
 }
 
+// isGivenUp reports whether the caller has left or the instance ends, neither of which says
+// anything about a target.
+func (x *exchange) isGivenUp() bool {
+	return x.request.Context().Err() != nil || x.handler.givenUp.Err() != nil
+}
+
 // timeoutFailure returns the outcome of a sent attempt whose context ended: at its
 // deadline, or because the caller went away.
 func (x *exchange) timeoutFailure() failedAttempt {
 	outcome := target.TimedOut
-	if x.request.Context().Err() != nil || x.handler.givenUp.Err() != nil {
+	if x.isGivenUp() {
 		outcome = target.Cancelled
 	}
 	refusal := mayHaveRunRefusal("timeout")
