--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -79,7 +79,7 @@
 		x.body = body
 		return nil
 	case x.handler.givenUp.Err() != nil:
-		return stoppingRefusal()
+		return StoppingRefusal()
 	}
 	return bodyRefusal(err)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -217,16 +217,6 @@
 	return x.handler.deps.Claims != nil && !x.repeatable && x.relayed == nil && x.request.Header.Get("Idempotency-Key") != ""
 }
 
-// stoppingRefusal returns the refusal of a request that came too late in a graceful stop.
-func stoppingRefusal() *Refusal {
-	return &Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Reason:     ReasonStopping,
-		RetryAfter: StoppingRetryAfter,
-		Elsewhere:  true,
-	}
-}
-
 // admit takes the request's cost from its organisation's rate.
 func (x *exchange) admit(ctx context.Context) error {
 	if x.route.Open || x.relayed != nil {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -44,13 +44,20 @@
 	OutcomeUnknown = "unknown"
 )
 
-// ReasonStopping is the reason of refusals of requests that can't be finished before the instance
-// stops, and StoppingRetryAfter when their callers may come back: their next connection goes to
-// another instance.
-const (
-	ReasonStopping     = "stopping"
-	StoppingRetryAfter = 100 * time.Millisecond
-)
+// stoppingRetryAfter is when a caller may come back whose request an instance that stops has
+// refused: its next connection goes to another instance.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+// StoppingRefusal returns the refusal of a request that can't be finished before the instance
+// stops.
+func StoppingRefusal() *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "stopping",
+		RetryAfter: stoppingRetryAfter,
+		Elsewhere:  true,
+	}
+}
 
 // Refusal is the error that ends a request without a target's answer. Admission,
 // Grant, Claims, Claim, Dispatcher and Quarantine return it when they refuse a
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -73,12 +73,7 @@
 	g := d.gateway
 	for {
 		if g.stopsBefore(request) {
-			return nil, &entry.Refusal{
-				Status:     http.StatusServiceUnavailable,
-				Reason:     entry.ReasonStopping,
-				RetryAfter: entry.StoppingRetryAfter,
-				Elsewhere:  true,
-			}
+			return nil, entry.StoppingRefusal()
 		}
 		acquired, limit := g.choose(request)
 		if acquired == nil {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -413,7 +413,7 @@
 	if d.Full {
 		return d
 	}
-	// Removals go first: builds before landing 12 take the last of two entries of a key.
+	// Removals go first: instances of earlier builds take the last of two entries of a key.
 	var removals []store.Entry
 	for _, r := range m.removals {
 		if r.RemovedAt > at.Counter {
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -402,7 +402,7 @@
 	}
 }
 
-// Guards against builds before landing 12 that lose a key which was removed and written again:
+// Guards against instances of earlier builds that lose a key which was removed and written again:
 // of two entries of a key they take the last.
 func TestDeltaNamesRemovalsFirst(t *testing.T) {
 	is := is.New(t)
