Keep the same one of equally failing targets in use at the capacity floor

Cause: the floor keeps the least severe failing target in use, but an ejected one's severity stands still while that of the kept one changes with each assessment. As soon as it was above, the two were exchanged, and the new one warmed up from a low weight. Why this works: the severity of a target that is in use counts 0.85 times for the choice, so one that fails about as often stays; one that fails twice as often is exchanged. The test now prints the percentages.

--- a/pkg/target/authority.go
+++ b/pkg/target/authority.go
@@ -57,6 +57,9 @@
 	// sparedRecoveryTime is how long a target that the floor keeps in use must show no
 	// sign of failure until it is considered healthy again.
 	sparedRecoveryTime = 10 * time.Second
+	// sparedSeverityFactor scales the severity of a target that the floor keeps in use, so
+	// that it isn't exchanged for one that fails about as often and would have to warm up.
+	sparedSeverityFactor = 0.85
 	// rateIntervals is the number of intervals over which request rates are measured.
 	rateIntervals = 8
 	// longRunDecay is the fraction by which long-run counts shrink each second.
--- a/pkg/target/authority_test.go
+++ b/pkg/target/authority_test.go
@@ -1,6 +1,8 @@
 package target_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,6 +117,51 @@
 	is.Equal(again.MinEjectionTime, 5*time.Second) // longer after a return
 }
 
+// failingOften returns a function for run by which the targets fail the given fraction of
+// their requests, at random.
+func failingOften(random *rand.Rand, fractions map[string]float64) func(string, int) (target.Cell, bool) {
+	return func(name string, _ int) (target.Cell, bool) {
+		return target.Cell{Failures: 1}, random.Float64() < fractions[name]
+	}
+}
+
+// TestFloorSeldomExchangesEqualTargets guards against a floor that exchanges the target it
+// keeps in use for an ejected one that fails as often: each exchange begins with a warm-up, in
+// which no failing target gets the share of a target in use.
+func TestFloorSeldomExchangesEqualTargets(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 0))
+		h := newHarness(4, 50)
+		h.run(5, 4, healthy)
+		h.run(60, 4, func(name string, _ int) (target.Cell, bool) {
+			return target.Cell{Failures: 1}, name != "c3" && random.Float64() < 0.8
+		})
+		is.Equal(len(h.targetsDecided(target.Ejected)), 3)
+		is.True(len(h.targetsDecided(target.KeptByFloor)) <= 3) // at most two exchanges in a minute
+		is.Equal(len(h.verdicts.List), 2)
+	}
+}
+
+// TestFloorExchangesTargetThatFailsMoreOften guards against a target that stays in use although
+// it fails twice as often as the ejected ones.
+func TestFloorExchangesTargetThatFailsMoreOften(t *testing.T) {
+	is := is.New(t)
+	requests := 0
+	worst := ""
+	fails := func(name string, i int) (target.Cell, bool) {
+		requests++
+		return target.Cell{Failures: 1}, name == worst || name != "c3" && requests/8%2 == i
+	}
+	h := newHarness(4, 50)
+	h.run(5, 4, healthy)
+	h.run(30, 4, fails)
+	kept := h.targetsDecided(target.KeptByFloor)
+	worst = kept[len(kept)-1]
+	h.run(15, 4, fails)
+	is.True(slices.ContainsFunc(h.verdicts.List, func(v target.Verdict) bool { return v.Target == worst }))
+}
+
 func TestAuthorityEjectsNoTargetFor(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/pkg/target/publish.go
+++ b/pkg/target/publish.go
@@ -68,9 +68,13 @@
 			effects = append(effects, a.reinstate(now, t.Name, s))
 			continue
 		}
+		severity := s.severity
+		if !s.ejected {
+			severity *= sparedSeverityFactor
+		}
 		candidates = append(candidates, Candidate{
 			Index:    i,
-			Severity: s.severity,
+			Severity: severity,
 		})
 	}
 	ejected := SelectEjections(base, a.view.floor, candidates)
--- a/test/process/target_test.go
+++ b/test/process/target_test.go
@@ -110,12 +110,13 @@
 		f.setTargetFaults(i, map[string]any{"GrayFraction": 0.8})
 		sleep(4 * time.Second)
 		active := 0
-		for _, percent := range f.loadPercents() {
+		percents := f.loadPercents()
+		for _, percent := range percents {
 			if percent >= minActivePercent {
 				active++
 			}
 		}
-		t.Logf("%d gray targets, %d in use", i+1, active)
+		t.Logf("%d gray targets, %d in use, percentages %v", i+1, active, percents)
 		is.True(active >= 2) // the floor is 50 percent
 	}
 	all := load.end()
