End another instance's read at once when the links are lost that it uses

It had gone from an instance without links through another one that had lost its links too. The caller's instance counts the attempt, chooses another instance and retries within the budget. Writes stay: their answer may still come.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -324,13 +325,62 @@
 	cancel context.CancelFunc
 	// released is set once the slot has been given back.
 	released bool
+	// over is set when the attempt ends by itself or because the links are lost, whichever
+	// is first.
+	over atomic.Bool
 }
 
 // abandon implements attempt.
 func (p *placedAttempt) abandon() { p.cancel() }
 
-// send implements attempt. An unexpected failure of the program is a failure of the attempt.
+// cutOff ends the attempt because this instance has lost its links to the service, which says
+// nothing about the target.
+func (p *placedAttempt) cutOff() {
+	if p.over.CompareAndSwap(false, true) {
+		p.exchange.linksLost.Store(true)
+		p.cancel()
+	}
+}
+
+// send implements attempt.
 func (p *placedAttempt) send() attemptOutcome {
+	outcome := p.sendContained()
+	if p.over.CompareAndSwap(false, true) {
+		return outcome
+	}
+	switch outcome := outcome.(type) {
+	case usableAnswer:
+		outcome.answer.finish(target.Cancelled)
+		return p.cutOffFailure(true)
+	case failedAttempt:
+		if outcome.fallback != nil {
+			return outcome
+		}
+		return p.cutOffFailure(outcome.mayHaveRun)
+	}
+	return outcome
+}
+
+// cutOffFailure returns the outcome of an attempt that cutOff has ended.
+func (p *placedAttempt) cutOffFailure(mayHaveRun bool) failedAttempt {
+	return failedAttempt{
+		outcome:    target.Cancelled,
+		target:     p.slot.Target().Name,
+		mayHaveRun: mayHaveRun,
+		unsent:     !mayHaveRun,
+		refusal: &Refusal{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     UnreachableReason,
+			MayHaveRun: mayHaveRun,
+			RetryAfter: time.Second,
+			Elsewhere:  !mayHaveRun,
+		},
+	}
+}
+
+// sendContained sends the attempt and returns its outcome. An unexpected failure of the program
+// is a failure of the attempt.
+func (p *placedAttempt) sendContained() attemptOutcome {
 	h := p.exchange.handler
 	var outcome attemptOutcome
 	if !h.contain(func() { outcome = p.exchangeWithTarget() }) {
@@ -509,10 +559,10 @@
 	}
 }
 
-// isGivenUp reports whether the caller has left or the instance ends, neither of which says
-// anything about a target.
+// isGivenUp reports whether the caller has left, the instance ends or it has lost its links,
+// none of which says anything about a target.
 func (x *exchange) isGivenUp() bool {
-	return x.request.Context().Err() != nil || x.handler.givenUp.Err() != nil
+	return x.request.Context().Err() != nil || x.handler.givenUp.Err() != nil || x.linksLost.Load()
 }
 
 // timeoutFailure returns the outcome of a sent attempt whose context ended: at its
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -72,6 +72,8 @@
 	headSent bool
 	// answering is set once there is an answer for the caller.
 	answering atomic.Bool
+	// linksLost is set once an attempt ended because this instance has lost its links.
+	linksLost atomic.Bool
 }
 
 // serve performs all steps of the request. Its error wraps the *Refusal that the
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -238,6 +238,7 @@
 	}
 	r.running[number] = a
 	if !r.hasRoom() {
+		r.watchLinks(next)
 		return
 	}
 	overdue := func() {
@@ -262,6 +263,22 @@
 	}
 }
 
+// watchLinks has an attempt for another instance's caller end once this instance has lost its
+// links to the service: the other instance then tries elsewhere at once.
+func (r *race) watchLinks(next attempt) {
+	p, ok := next.(*placedAttempt)
+	if !ok || r.exchange.relayed == nil {
+		return
+	}
+	p.slot.OnUnresponsive(func() {
+		r.exchange.handler.contain(func() {
+			if _, err := r.exchange.acquireRelay(p.ctx); err != nil {
+				p.cutOff()
+			}
+		})
+	})
+}
+
 // hasRoom reports whether another attempt may run beside those in progress.
 func (r *race) hasRoom() bool {
 	return len(r.running) < maxRunning && r.exchange.sentAttempts+len(r.running) < r.exchange.maxSentAttempts()
--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -374,3 +374,77 @@
 	}
 	return n
 }
+
+// unreachableAfter are the relays of a helper that loses its links to the service at a time.
+type unreachableAfter struct{ lostAt time.Time }
+
+func (u unreachableAfter) Acquire(context.Context, entry.RelayRequest) (entry.Relay, error) {
+	if time.Now().Before(u.lostAt) {
+		return nil, nil
+	}
+	return nil, &entry.Refusal{
+		Status:    http.StatusServiceUnavailable,
+		Reason:    entry.UnreachableReason,
+		Elsewhere: true,
+	}
+}
+
+// Guards against a read that waits until it is overdue at another instance that has lost its
+// links as well and knows it, and against a write that is given up there.
+func TestHelperThatLosesItsLinksEndsReadsOnly(t *testing.T) {
+	const (
+		lostAfter    = 100 * time.Millisecond
+		noticedAfter = 150 * time.Millisecond
+	)
+	tests := []struct {
+		method   string
+		outcomes []entry.RelayOutcome
+	}{
+		{
+			method:   http.MethodGet,
+			outcomes: []entry.RelayOutcome{entry.RelayCutOff, entry.RelayAnswered},
+		},
+		{
+			method:   http.MethodPost,
+			outcomes: []entry.RelayOutcome{entry.RelayAnswered},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.method, func(t *testing.T) {
+			is := is.New(t)
+			e := newRelayEnv(t, 2, 0)
+			e.overdue = &overdueSettings{
+				wait:         timeout,
+				granted:      true,
+				unresponsive: noticedAfter,
+			}
+			e.relays.overdue = timeout
+			e.addHelper(entry.New(entry.Dependencies{
+				Snapshots:  e,
+				Admission:  e.helperAdmission,
+				Claims:     e.claims,
+				Dispatcher: e,
+				Quarantine: e.quarantine,
+				Relays: unreachableAfter{
+					lostAt: time.Now().Add(lostAfter),
+				},
+			}).ServeRelayed)
+			e.addHelper(e.newHelper())
+			for _, s := range e.targets {
+				s.SetFaults(standin.TargetFaults{SlowFactor: 500})
+			}
+			time.AfterFunc(lostAfter, func() {
+				for _, s := range e.targets {
+					s.SetFaults(standin.TargetFaults{})
+				}
+			})
+			began := time.Now()
+			is.Equal(e.callRelayed(tt.method, "/bookings", "").status, http.StatusOK)
+			took := time.Since(began)
+			t.Logf("took %v", took)
+			is.True(tt.method != http.MethodGet || took < 2*noticedAfter)
+			is.Equal(e.relays.outcomes, tt.outcomes)
+			is.Equal(e.arrivals(), uint64(len(tt.outcomes)))
+		})
+	}
+}
