Count the beginnings of answers in the memory account

What callers would see: an instance keeps up to 64 KB of each answer's beginning (a fallback, an answer that waits for its turn) and took 32 KB more to pass a long one on. Fix: the beginning is counted in the account with bodies, until its request ends. One that finds no room is cut to 2 KB and passed on while it comes in: it was run, so it can't be refused as not run, but another attempt can't replace it if it breaks off later. A declared length is allocated at once, and the rest goes through the same buffer.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -22,13 +22,13 @@
 // by that of another attempt, or by a refusal.
 const maxPrefixBytes = 64 << 10
 
+// scarcePrefixBytes replaces maxPrefixBytes for an answer that finds no room.
+const scarcePrefixBytes = 2 << 10
+
 // maxUndeclaredBytes is the size at which an answer without a declared length is broken
 // off: a failing target may send bytes without end.
 const maxUndeclaredBytes = 64 << 20
 
-// copyBufferBytes is the buffer size for relaying the rest of a longer answer.
-const copyBufferBytes = 32 << 10
-
 // answer is a target's answer that is relayed to the caller.
 type answer struct {
 	exchange  *exchange
@@ -176,18 +176,50 @@
 // readPrefix reads the beginning of the body. If that is all of it, the answer is
 // finished.
 func (a *answer) readPrefix() error {
-	prefix, err := io.ReadAll(io.LimitReader(a.response.Body, maxPrefixBytes))
-	if err != nil {
-		return err
+	length := a.response.ContentLength
+	if a.response.Body == http.NoBody {
+		length = 0
 	}
+	prefix, err := readPrefix(a.response.Body, length, a.exchange.openAnswer().Grow)
 	a.prefix = prefix
-	a.complete = len(prefix) < maxPrefixBytes
-	if a.complete {
+	switch {
+	case errors.Is(err, io.EOF):
+		a.complete = true
 		a.finish(a.outcome())
+	case err != nil:
+		return err
 	}
 	return nil
 }
 
+// readPrefix reads up to maxPrefixBytes of a body of the length, which is negative if it isn't
+// known, or up to scarcePrefixBytes if grow finds no room for more. Its error is io.EOF if that is
+// the whole body.
+func readPrefix(r io.Reader, length int64, grow func(bytes int64) bool) ([]byte, error) {
+	size := int64(firstSegmentBytes)
+	if length >= 0 {
+		size = min(length+1, maxPrefixBytes) // the byte more shows the end
+	}
+	if !grow(size) {
+		prefix := make([]byte, min(size, scarcePrefixBytes))
+		n, err := fill(r, prefix)
+		return prefix[:n], err
+	}
+	prefix := make([]byte, size)
+	read := 0
+	for {
+		n, err := fill(r, prefix[read:])
+		read += n
+		more := min(len(prefix), maxPrefixBytes-len(prefix))
+		if err != nil || more == 0 || !grow(int64(more)) {
+			return prefix[:read], err
+		}
+		longer := make([]byte, len(prefix)+more)
+		copy(longer, prefix)
+		prefix = longer
+	}
+}
+
 // timeoutSlack is how long before a request's deadline a status 504 begins to count
 // as target.Cancelled instead of target.Failed.
 const timeoutSlack = 50 * time.Millisecond
@@ -364,8 +396,8 @@
 // relayRest sends the rest of the body. If the target's answer breaks off now, the
 // answer to the caller is aborted as well.
 func (x *exchange) relayRest(a *answer) error {
-	buffer := make([]byte, copyBufferBytes)
 	relayed := len(a.prefix)
+	buffer := a.prefix // it has been sent
 	for {
 		n, err := a.response.Body.Read(buffer)
 		if relayed += n; a.response.ContentLength < 0 && relayed > maxUndeclaredBytes {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -13,6 +13,7 @@
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/memory"
 )
 
 // exchange is the state of one request and its answer.
@@ -72,6 +73,11 @@
 	headSent bool
 	// answering is set once there is an answer for the caller.
 	answering atomic.Bool
+	// heldMu guards held, the room taken by answers while attempts run beside each other, and
+	// ended, which is set once the request has ended.
+	heldMu sync.Mutex
+	held   []*memory.Holding
+	ended  bool
 	// linksLost is set once an attempt ended because this instance has lost its links.
 	linksLost atomic.Bool
 }
@@ -89,6 +95,7 @@
 	defer cancel()
 	held := x.handler.memory.Open(x.organisation)
 	defer held.Close()
+	defer x.closeAnswers()
 	if err := x.readBody(held); err != nil {
 		return err
 	}
@@ -99,6 +106,31 @@
 	return x.runAdmitted(ctx)
 }
 
+// openAnswer returns what is held for an answer until the request ends. If it has ended, there
+// is no room for one.
+func (x *exchange) openAnswer() *memory.Holding {
+	held := x.handler.memory.Open(x.organisation)
+	x.heldMu.Lock()
+	defer x.heldMu.Unlock()
+	if x.ended {
+		held.Close()
+		return held
+	}
+	x.held = append(x.held, held)
+	return held
+}
+
+// closeAnswers releases what is held for the request's answers. An attempt that goes on gets no
+// more.
+func (x *exchange) closeAnswers() {
+	x.heldMu.Lock()
+	defer x.heldMu.Unlock()
+	x.ended = true
+	for _, held := range x.held {
+		held.Close()
+	}
+}
+
 // runAdmitted runs an admitted request with a permit of the quarantine and, if it
 // needs one, a claim.
 func (x *exchange) runAdmitted(ctx context.Context) error {
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -262,6 +262,10 @@
 			for n := range 20 {
 				for _, i := range all {
 					out := f.exchange(f.instances[i], http.MethodPost, "/one/1", fmt.Sprintf("%d-%d", n, i))
+					if out.took >= 100*time.Millisecond {
+						t.Logf("instance %d, sent at %v: %+v", i, out.sentAt, out)
+						f.logLines("Status=50", "relayed", "impaired", "links to service", "no instance reaches", "did not answer", "restored")
+					}
 					is.Equal(out.status, http.StatusServiceUnavailable)
 					is.True(out.retryAfter != "")
 					is.True(out.took < 100*time.Millisecond)
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// Holding is what is held for one request. It is not safe for concurrent use.
+// Holding is what is held for one request. It is safe for concurrent use. The account's mu guards
+// its bytes and closed.
 type Holding struct {
 	account      *Account
 	organisation string
@@ -87,11 +88,15 @@
 	closed       bool
 }
 
-// Grow reserves more bytes, and reports whether there is room for them.
+// Grow reserves more bytes, and reports whether there is room for them. There is none once the
+// Holding is closed.
 func (h *Holding) Grow(bytes int64) bool {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.closed {
+		return false
+	}
 	after := h.bytes + bytes
 	limit := a.limit
 	if after > SmallBytes {
@@ -127,15 +132,15 @@
 	}
 }
 
-// Close releases all that is held.
+// Close releases all that is held. Only the first call has an effect.
 func (h *Holding) Close() {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if h.closed {
 		return
 	}
 	h.closed = true
-	a := h.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.countLarge(h.organisation, h.bytes, 0)
 	a.used -= h.bytes
 	h.bytes = 0
