Count the heads of requests in the memory account

What callers would see: an instance held up to 64 KB of head for each connection, and many times that once it was taken apart: a head of 60 KB with as many lines as fit takes 0.5 MB. Callers that send such heads and stop before the end could fill the memory in the ten seconds that a head may take; an instance that exceeds it is killed with all its requests. Fix: a head is counted while it is read, 256 bytes for each line besides its length, until its request ends. Heads under 8 KB (that count included) aren't counted. One that finds no room gets 503 with Retry-After 1 and "not-run", like a body.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,6 +65,7 @@
 	publisher *publisher
 	dispatch  *dispatch.Dispatcher
 	handler   *entry.Handler
+	memory    *memory.Account
 	listeners listeners
 	callers   *ingress.Server
 	admin     *http.Server
@@ -193,6 +194,7 @@
 	}
 	d.publisher = newPublisher(d)
 	d.assembleControl()
+	d.memory = memory.NewAccount(memoryLimit(d.settings))
 	d.dispatch = dispatch.New(d.clock, dispatch.WithObserver(d.handleConnectionEvent))
 	d.handler = entry.New(entry.Dependencies{
 		Snapshots:  d,
@@ -204,7 +206,7 @@
 		entry.WithLogger(d.logger),
 		entry.WithDecisionLogging(d.settings.LogDecisions),
 		entry.WithMaxRequests(d.settings.MaximumRequests),
-		entry.WithMemory(memory.NewAccount(memoryLimit(d.settings))),
+		entry.WithMemory(d.memory),
 		entry.WithMetrics(d.registry))
 	return nil
 }
@@ -249,6 +251,7 @@
 		ingress.WithHeaderTimeout(readHeaderTimeout),
 		ingress.WithIdleTimeout(idleTimeout),
 		ingress.WithMaxHeaderBytes(maxHeaderBytes),
+		ingress.WithMemory(d.memory, http.HandlerFunc(d.handler.RefuseFull)),
 		ingress.WithLogger(d.logger),
 		ingress.WithMetrics(d.registry))
 	d.admin = &http.Server{
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// RefuseFull answers in place of a request for whose head there is no room.
+func (h *Handler) RefuseFull(w http.ResponseWriter, r *http.Request) {
+	h.newExchange(w, r).refuse(&Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     "instance-full",
+		RetryAfter: memoryRetryAfter,
+	})
+}
+
 // GiveUp ends all requests that wait for an answer, now and from now on. Their callers are told
 // whether a target may have run them. It is called shortly before the process ends, which would
 // cut their connections.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	callers    *ingress.Server
 	servers    []*http.Server
 	entry      *entry.Handler
+	memory     *memory.Account
 	peerClient *http.Client
 
 	state   *localState
@@ -212,7 +213,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.tasks = &errgroup.Group{}
-	account := newAccount(g.settings.MemoryBytes, g.registry)
+	g.memory = newAccount(g.settings.MemoryBytes, g.registry)
 	g.entry = entry.New(entry.Dependencies{
 		Snapshots:  g,
 		Admission:  admission{g},
@@ -220,7 +221,7 @@
 		Quarantine: quarantineCheck{g},
 		Relays:     relays{g},
 	},
-		entry.WithMemory(account),
+		entry.WithMemory(g.memory),
 		entry.WithDialect(g.adapters.Dialect),
 		entry.WithLogger(g.logger),
 		entry.WithMetrics(g.registry),
@@ -278,6 +279,7 @@
 		ingress.WithHeaderTimeout(readHeaderTimeout),
 		ingress.WithIdleTimeout(idleTimeout),
 		ingress.WithMaxHeaderBytes(maxHeaderBytes),
+		ingress.WithMemory(g.memory, http.HandlerFunc(g.entry.RefuseFull)),
 		ingress.WithLogger(g.logger),
 		ingress.WithMetrics(g.registry))
 	g.goTask(func() { g.logServerEnd(entryListener, g.callers.Serve(g.listeners[entryListener])) })
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"dandelionmux/pkg/memory"
 	"dandelionmux/pkg/pipeline"
 )
 
@@ -76,8 +77,9 @@
 		server: s,
 		raw:    raw,
 		source: &source{
-			raw:  raw,
-			left: -1,
+			raw:     raw,
+			left:    -1,
+			account: s.memory,
 		},
 		broken:    make(chan struct{}),
 		changed:   make(chan struct{}, 1),
@@ -100,12 +102,13 @@
 		}
 	}()
 	for c.awaitRequest() {
-		r, err := c.readRequest()
+		r, head, err := c.readRequest()
 		if err != nil {
+			head.Close()
 			c.reject(err)
 			break
 		}
-		c.receive(r)
+		c.receive(r, head)
 	}
 	c.awaitAnswers()
 }
@@ -181,24 +184,38 @@
 	}
 }
 
-// errHeadTooLong says that a request's head exceeds the limit.
-var errHeadTooLong = errors.New("request head too long")
+// Errors of reading a request's head.
+var (
+	// errHeadTooLong says that it exceeds the limit.
+	errHeadTooLong = errors.New("request head too long")
+	// errNoRoom says that there is no memory for it.
+	errNoRoom = errors.New("no room for the request's head")
+)
 
-// readRequest reads the head of the next request.
-func (c *conn) readRequest() (*http.Request, error) {
+// readRequest reads the head of the next request, and returns what is held for it.
+func (c *conn) readRequest() (*http.Request, *memory.Holding, error) {
+	buffered, _ := c.buffer.Peek(c.buffer.Buffered())
+	c.source.beginHead(buffered)
+	if c.source.noRoom {
+		return nil, c.source.head, errNoRoom
+	}
 	c.source.left = c.server.maxHeaderBytes
 	r, err := http.ReadRequest(c.buffer)
 	c.source.left = -1
-	if c.source.exceeded {
-		return nil, errHeadTooLong
+	switch {
+	case c.source.noRoom:
+		err = errNoRoom
+	case c.source.exceeded:
+		err = errHeadTooLong
 	}
-	return r, err
+	return r, c.source.head, err
 }
 
-// receive starts a request, or lets it wait for those before it.
-func (c *conn) receive(r *http.Request) {
+// receive starts a request, or lets it wait for those before it. head is what is held for it.
+func (c *conn) receive(r *http.Request, head *memory.Holding) {
 	r.RemoteAddr = c.raw.RemoteAddr().String()
 	if status := unacceptable(r); status != 0 {
+		head.Close()
 		c.answerAndClose(status)
 		return
 	}
@@ -207,11 +224,12 @@
 		kind = pipeline.Independent
 	}
 	x := c.newExchange(r, c.source.arrivedAt(c.source.end-int64(c.buffer.Buffered())))
+	x.head = head
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.raw.SetReadDeadline(time.Time{})
 	if c.queue.Sealed() || c.isBroken {
-		x.cancel()
+		x.drop()
 		return
 	}
 	c.enqueue(x, kind)
@@ -251,7 +269,7 @@
 func (c *conn) dropExchanges() {
 	for n := c.queue.Len(); len(c.exchanges) > n; {
 		last := len(c.exchanges) - 1
-		c.exchanges[last].cancel()
+		c.exchanges[last].drop()
 		c.exchanges = c.exchanges[:last]
 	}
 }
@@ -300,6 +318,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLong):
 		c.answerAndClose(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, errNoRoom):
+		c.answerAndClose(http.StatusServiceUnavailable)
 	case isNetworkError(err):
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -347,7 +367,7 @@
 func (c *conn) end(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x.cancel()
+	x.drop()
 	x.ended = true
 	if c.openBody == x.body {
 		c.openBody = nil
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/pkg/memory"
 	"dandelionmux/pkg/pipeline"
 )
 
@@ -52,6 +53,8 @@
 	writer *responseWriter
 	// body is the request's body; nil if it has none.
 	body *body
+	// head is what is held for the request's head, or nil.
+	head *memory.Holding
 	// rejected is the status of a request that isn't given to the handler.
 	rejected int
 	// started is set once the request runs, begun once the head of its answer is written, and
@@ -88,6 +91,12 @@
 	return x
 }
 
+// drop ends the request's context and releases what is held for its head.
+func (x *exchange) drop() {
+	x.cancel()
+	x.head.Close()
+}
+
 // run answers the request.
 func (x *exchange) run() {
 	defer x.conn.end(x)
@@ -111,6 +120,10 @@
 			x.conn.logPanic(x.request.Method, cause)
 		}
 	}()
+	if x.rejected == http.StatusServiceUnavailable {
+		x.conn.server.full.ServeHTTP(x.writer, x.request)
+		return true
+	}
 	if x.rejected != 0 {
 		x.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		http.Error(x.writer, http.StatusText(x.rejected), x.rejected)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionmux/pkg/memory"
 	"dandelionmux/pkg/pipeline"
 )
 
@@ -57,6 +58,8 @@
 	malformed      metrics.Counter
 	panics         metrics.Counter
 	places         *pipeline.Places
+	memory         *memory.Account
+	full           http.Handler
 
 	mu              sync.Mutex
 	listener        net.Listener
@@ -89,6 +92,16 @@
 	return func(s *Server) { s.maxHeaderBytes = n }
 }
 
+// WithMemory sets the account in which requests' heads are counted, and the handler that answers
+// in place of requests whose heads find no room. It is given a request without the head. By
+// default heads are counted nowhere.
+func WithMemory(a *memory.Account, full http.Handler) Option {
+	return func(s *Server) {
+		s.memory = a
+		s.full = full
+	}
+}
+
 // WithLogger sets the logger. By default nothing is logged.
 func WithLogger(l *slog.Logger) Option {
 	return func(s *Server) { s.logger = l }
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -1,5 +1,5 @@
-// Package memory bounds what an instance holds for others: bodies of requests, also while they
-// come in.
+// Package memory bounds what an instance holds for others: heads and bodies of requests, also
+// while they come in, and beginnings of answers.
 //
 // All of it is counted in one Account, whose limit follows from the memory that the instance may
 // use. What is held for a request is a Holding. It grows before the bytes are read, so that the
@@ -132,8 +132,11 @@
 	}
 }
 
-// Close releases all that is held. Only the first call has an effect.
+// Close releases all that is held. Only the first call has an effect. A nil Holding holds nothing.
 func (h *Holding) Close() {
+	if h == nil {
+		return
+	}
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
