Hold no more than a quarter above the size of a body of unknown length

A body of 1 MB without a length took 2.0 times its size for a moment: its segments doubled. TestBodyIsReadIntoWhatWasReserved/no_length,_as_long_as_a_segment failed before.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// firstSegmentBytes is the size of the first segment of a body whose length isn't known. Each
-	// further segment is twice as large as the one before, up to maxSegmentBytes.
+	// firstSegmentBytes is the least size of a segment of a body whose length isn't known. Each
+	// further segment is one part in segmentPart of what has been read, up to maxSegmentBytes.
 	firstSegmentBytes = 4 << 10
+	segmentPart       = 4
 	maxSegmentBytes   = 1 << 20
 	// memoryRetryAfter is when a caller may come back whose request found no room. By then other
 	// requests have usually ended.
@@ -110,7 +111,7 @@
 		case err != nil:
 			return requestBody{}, err
 		}
-		next = min(2*next, maxSegmentBytes)
+		next = min(max(b.size/segmentPart, firstSegmentBytes), maxSegmentBytes)
 	}
 }
 
--- a/internal/entry/body_internal_test.go
+++ b/internal/entry/body_internal_test.go
@@ -31,6 +31,7 @@
 		{name: "small", size: 1 << 10, known: true, most: 1 << 10},
 		{name: "large", size: 5 << 20, known: true, most: 5 << 20},
 		{name: "no length, small", size: 1 << 10, most: firstSegmentBytes},
+		{name: "no length, as long as a segment", size: 1 << 20, most: 5 << 18},
 		{name: "no length, large", size: 5 << 20, most: 6 << 20},
 		{name: "too large", size: 9 << 20, known: true, err: errNoMemory},
 		{name: "no length, too large", size: 9 << 20, err: errNoMemory},
@@ -73,7 +74,7 @@
 	}
 }
 
-// BenchmarkReadBody measures the bytes that are allocated for a body.
+// BenchmarkReadBody measures the bytes that are allocated for a body, and those held in the account.
 func BenchmarkReadBody(b *testing.B) {
 	for _, size := range []int{1 << 10, 1 << 20, 64 << 20} {
 		for _, known := range []bool{true, false} {
@@ -92,6 +93,8 @@
 					}
 					held.Close()
 				}
+				_, peak := a.Used()
+				b.ReportMetric(float64(peak)/float64(size), "held/byte")
 			})
 		}
 	}
