--- a/pkg/target/authority_test.go
+++ b/pkg/target/authority_test.go
@@ -117,14 +117,6 @@
 	is.Equal(again.MinEjectionTime, 5*time.Second) // longer after a return
 }
 
-// failingOften returns a function for run by which the targets fail the given fraction of
-// their requests, at random.
-func failingOften(random *rand.Rand, fractions map[string]float64) func(string, int) (target.Cell, bool) {
-	return func(name string, _ int) (target.Cell, bool) {
-		return target.Cell{Failures: 1}, random.Float64() < fractions[name]
-	}
-}
-
 // TestFloorSeldomExchangesEqualTargets guards against a floor that exchanges the target it
 // keeps in use for an ejected one that fails as often: each exchange begins with a warm-up, in
 // which no failing target gets the share of a target in use.
