Say 502, not 503, for a read that another instance gave up and may have run

On the platform a 503 says that the request hasn't run, so a caller whose read may not be retried would have been told what isn't known. TestHelperThatLosesItsLinksEndsReadsOnly/read_that_may_not_be_retried failed before (503).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -363,19 +363,23 @@
 
 // cutOffFailure returns the outcome of an attempt that cutOff has ended.
 func (p *placedAttempt) cutOffFailure(mayHaveRun bool) failedAttempt {
-	return failedAttempt{
+	failure := failedAttempt{
 		outcome:    target.Cancelled,
 		target:     p.slot.Target().Name,
-		mayHaveRun: mayHaveRun,
-		unsent:     !mayHaveRun,
-		refusal: &Refusal{
+		mayHaveRun: true,
+		refusal:    mayHaveRunRefusal(UnreachableReason),
+	}
+	if !mayHaveRun {
+		failure.mayHaveRun = false
+		failure.unsent = true
+		failure.refusal = &Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     UnreachableReason,
-			MayHaveRun: mayHaveRun,
 			RetryAfter: time.Second,
-			Elsewhere:  !mayHaveRun,
-		},
+			Elsewhere:  true,
+		}
 	}
+	return failure
 }
 
 // sendContained sends the attempt and returns its outcome. An unexpected failure of the program
--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -390,29 +390,47 @@
 }
 
 // Guards against a read that waits until it is overdue at another instance that has lost its
-// links as well and knows it, and against a write that is given up there.
+// links as well and knows it, against a status that says that such a read hasn't run, and against
+// a write that is given up there.
 func TestHelperThatLosesItsLinksEndsReadsOnly(t *testing.T) {
 	const (
 		lostAfter    = 100 * time.Millisecond
 		noticedAfter = 150 * time.Millisecond
 	)
 	tests := []struct {
+		name     string
 		method   string
+		attempts int
+		status   int
 		outcomes []entry.RelayOutcome
 	}{
 		{
+			name:     "read",
 			method:   http.MethodGet,
+			attempts: 3,
+			status:   http.StatusOK,
 			outcomes: []entry.RelayOutcome{entry.RelayCutOff, entry.RelayAnswered},
 		},
 		{
+			name:     "read that may not be retried",
+			method:   http.MethodGet,
+			attempts: 1,
+			status:   http.StatusBadGateway,
+			outcomes: []entry.RelayOutcome{entry.RelayCutOff},
+		},
+		{
+			name:     "write",
 			method:   http.MethodPost,
+			attempts: 3,
+			status:   http.StatusOK,
 			outcomes: []entry.RelayOutcome{entry.RelayAnswered},
 		},
 	}
 	for _, tt := range tests {
-		t.Run(tt.method, func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			e := newRelayEnv(t, 2, 0)
+			e.allowAttempts(tt.attempts)
 			e.overdue = &overdueSettings{
 				wait:         timeout,
 				granted:      true,
@@ -439,8 +457,10 @@
 				}
 			})
 			began := time.Now()
-			is.Equal(e.callRelayed(tt.method, "/bookings", "").status, http.StatusOK)
+			answer := e.callRelayed(tt.method, "/bookings", "")
 			took := time.Since(began)
+			is.Equal(answer.status, tt.status)
+			is.True(tt.status == http.StatusOK || answer.outcome() == entry.OutcomeUnknown)
 			t.Logf("took %v", took)
 			is.True(tt.method != http.MethodGet || took < 2*noticedAfter)
 			is.Equal(e.relays.outcomes, tt.outcomes)
