Tell instances that start which requests have crashed targets

What callers and operators would see: a request that had crashed two targets ended three more after a roll of the whole fleet, five in all, where three are allowed (BUDGET). Cause: strikes are reported to all instances as they happen and stored once there are three. An instance that starts later knows of none before, and after a roll nobody does. Evidence: TestStrikesOutliveReplacementOfAllInstances, which failed before (5, not 3).

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -19,6 +19,9 @@
 // crashHeader names the request that crashes its target.
 const crashHeader = "X-Test-Crash"
 
+// strikeSettleTime is how long instances that start may take to be told of strikes.
+const strikeSettleTime = 1500 * time.Millisecond
+
 // crashRun is how long a request runs until it crashes its target.
 const crashRun = 80 * time.Millisecond
 
@@ -317,3 +320,36 @@
 		})
 	}
 }
+
+// Guards against a request that has crashed two targets and begins anew when all instances are
+// replaced one after the other: it then ends two more than are allowed.
+func TestStrikesOutliveReplacementOfAllInstances(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 2, 0)
+	targets := f.startCrashTargets(8, 10*time.Second, false)
+	f.startInstance("b")
+	f.awaitMembers()
+	f.await(func() bool { return f.ready(f.instances[2]) })
+	for range crashLimit - 1 {
+		f.sendNamed(f.instances[0], http.MethodPost, "crash")
+	}
+	all, _ := targets.late("crash")
+	is.Equal(all, crashLimit-1)
+	time.Sleep(strikeSettleTime)
+	for i, zone := range []string{"a", "a", "b"} {
+		f.replaceInstance(i, zone)
+		f.awaitMembers()
+		time.Sleep(strikeSettleTime)
+	}
+	for range 4 {
+		for _, g := range f.instances {
+			f.sendNamed(g, http.MethodPost, "crash")
+			time.Sleep(strikeSettleTime / 10)
+		}
+	}
+	all, _ = targets.late("crash")
+	if all != crashLimit {
+		f.logLines("strike", "quarantine")
+	}
+	is.Equal(all, crashLimit)
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -12,6 +12,7 @@
 
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
+	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
@@ -24,6 +25,13 @@
 	// maxUnsavedEntries bounds the entries that wait to be stored. One that finds
 	// no room is stored when its request is refused again.
 	maxUnsavedEntries = 64
+	// maxRecentStrikes is the number of strikes that an instance that starts is told of, and
+	// strikesAgain when it is told a second time, in case the datagrams are lost.
+	maxRecentStrikes = 64
+	strikesAgain     = time.Second
+	// strikeTellerAge is how long an instance must have run to tell another one of strikes, which
+	// it was told itself by then.
+	strikeTellerAge = 4 * time.Second
 	// minQuarantineRetryAfter is the shortest Retry-After sent to callers of a quarantined
 	// request.
 	minQuarantineRetryAfter = time.Second
@@ -163,6 +171,34 @@
 	}
 }
 
+// tellStrikes tells an instance that has just registered which requests have crashed targets, so
+// that these don't begin anew when all instances are replaced. In each zone one instance does so.
+// The caller must hold mu.
+func (st *localState) tellStrikes(newcomer instance.Address) {
+	g := st.gateway
+	tell := g.contained(func() {
+		var strikes []quarantine.SuspectStrike
+		st.withLock(func() {
+			now := boot.Now()
+			excluded := func(a instance.Address) bool { return a == newcomer || st.unresponsive(a) }
+			if st.roster.CountingKeeper(now, "strikes", string(newcomer), excluded, st.ages, strikeTellerAge) == g.self.Address {
+				strikes = st.strikes.Recent(now, maxRecentStrikes)
+			}
+		})
+		// Without a service the report doesn't count against the target again.
+		for _, s := range strikes {
+			g.send(newcomer, failureReport{
+				Target:      s.Target,
+				Incarnation: s.Incarnation,
+				Outcome:     strikeOutcome(s.TallyStrike),
+				Suspect:     s.Fingerprint,
+			})
+		}
+	})
+	go tell()
+	time.AfterFunc(strikesAgain, tell)
+}
+
 // handleSuspect records the strike or the success of a request that another instance has
 // reported. If several instances report their strikes at the same time, none has seen the
 // last one itself, so each of them saves the request's quarantine.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -439,6 +439,9 @@
 			slog.String("Error", err.Error()))
 		return
 	}
+	if known, ok := st.members[address]; !st.loading && address != st.gateway.self.Address && (!ok || known.ID != m.ID) {
+		st.tellStrikes(address)
+	}
 	st.members[address] = m
 	delete(st.unresponsiveUntil, address)
 	st.source.Forgive(address)
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -29,8 +29,8 @@
 )
 
 // Tally counts the runs of targets that each request crashed, as far as one instance knows. It
-// works without an authority: instances tell each other of strikes, and store the
-// quarantined requests where instances that start later find them. It is not safe for
+// works without an authority: instances tell each other of strikes, also those that start later
+// (Recent), and store the quarantined requests where these find them. It is not safe for
 // concurrent use.
 type Tally struct {
 	suspects *simplelru.LRU[Fingerprint, []timedStrike]
@@ -182,6 +182,36 @@
 	return list
 }
 
+// SuspectStrike is a strike of a request.
+type SuspectStrike struct {
+	Fingerprint Fingerprint
+	TallyStrike
+}
+
+// Recent returns the strikes that still count of the requests that aren't quarantined, those of
+// the latest requests first. It ends with the request with which there are limit strikes.
+func (t *Tally) Recent(now time.Duration, limit int) []SuspectStrike {
+	var recent []SuspectStrike
+	for _, f := range slices.Backward(t.suspects.Keys()) {
+		if len(recent) >= limit {
+			break
+		}
+		if t.Remaining(now, f) > 0 {
+			continue
+		}
+		list, _ := t.suspects.Peek(f)
+		for _, s := range list {
+			if now-s.at <= TallyTerm {
+				recent = append(recent, SuspectStrike{
+					Fingerprint: f,
+					TallyStrike: s.TallyStrike,
+				})
+			}
+		}
+	}
+	return recent
+}
+
 // Remaining returns how long the request must not run, and zero if it may.
 func (t *Tally) Remaining(now time.Duration, f Fingerprint) time.Duration {
 	return max(t.quarantined[f].until-now, 0)
