Report strikes to instances that start only if there are any

Read in the diff: when a whole fleet starts, each instance took a lock and ranked its zone for each of the others, twice, with nothing to report. Names after what is done; a test of which strikes are reported (TestRecentStrikes).

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -19,7 +19,7 @@
 // crashHeader names the request that crashes its target.
 const crashHeader = "X-Test-Crash"
 
-// strikeSettleTime is how long instances that start may take to be told of strikes.
+// strikeSettleTime is how long it may take until strikes are known to instances that start.
 const strikeSettleTime = 1500 * time.Millisecond
 
 // crashRun is how long a request runs until it crashes its target.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -25,13 +25,13 @@
 	// maxUnsavedEntries bounds the entries that wait to be stored. One that finds
 	// no room is stored when its request is refused again.
 	maxUnsavedEntries = 64
-	// maxRecentStrikes is the number of strikes that an instance that starts is told of, and
-	// strikesAgain when it is told a second time, in case the datagrams are lost.
-	maxRecentStrikes = 64
-	strikesAgain     = time.Second
-	// strikeTellerAge is how long an instance must have run to tell another one of strikes, which
-	// it was told itself by then.
-	strikeTellerAge = 4 * time.Second
+	// maxRecentStrikes is the number of strikes that are reported to an instance that starts, and
+	// strikeRepeatDelay the time until that is repeated, in case the datagrams are lost.
+	maxRecentStrikes  = 64
+	strikeRepeatDelay = time.Second
+	// strikeReporterAge is how long an instance must have run to report strikes to another one:
+	// by then they have been reported to itself.
+	strikeReporterAge = 4 * time.Second
 	// minQuarantineRetryAfter is the shortest Retry-After sent to callers of a quarantined
 	// request.
 	minQuarantineRetryAfter = time.Second
@@ -171,17 +171,20 @@
 	}
 }
 
-// tellStrikes tells an instance that has just registered which requests have crashed targets, so
-// that these don't begin anew when all instances are replaced. In each zone one instance does so.
-// The caller must hold mu.
-func (st *localState) tellStrikes(newcomer instance.Address) {
+// reportStrikes reports to an instance that has just registered which requests have crashed
+// targets, so that their count doesn't begin anew when all instances are replaced. In each zone
+// one instance does so. The caller must hold mu.
+func (st *localState) reportStrikes(newcomer instance.Address) {
+	if st.strikes.Suspects() == 0 {
+		return
+	}
 	g := st.gateway
-	tell := g.contained(func() {
+	report := g.contained(func() {
 		var strikes []quarantine.SuspectStrike
 		st.withLock(func() {
 			now := boot.Now()
 			excluded := func(a instance.Address) bool { return a == newcomer || st.unresponsive(a) }
-			if st.roster.CountingKeeper(now, "strikes", string(newcomer), excluded, st.ages, strikeTellerAge) == g.self.Address {
+			if st.roster.CountingKeeper(now, "strikes", string(newcomer), excluded, st.ages, strikeReporterAge) == g.self.Address {
 				strikes = st.strikes.Recent(now, maxRecentStrikes)
 			}
 		})
@@ -195,8 +198,8 @@
 			})
 		}
 	})
-	go tell()
-	time.AfterFunc(strikesAgain, tell)
+	go report()
+	time.AfterFunc(strikeRepeatDelay, report)
 }
 
 // handleSuspect records the strike or the success of a request that another instance has
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -440,7 +440,7 @@
 		return
 	}
 	if known, ok := st.members[address]; !st.loading && address != st.gateway.self.Address && (!ok || known.ID != m.ID) {
-		st.tellStrikes(address)
+		st.reportStrikes(address)
 	}
 	st.members[address] = m
 	delete(st.unresponsiveUntil, address)
--- a/pkg/quarantine/tally.go
+++ b/pkg/quarantine/tally.go
@@ -29,8 +29,8 @@
 )
 
 // Tally counts the runs of targets that each request crashed, as far as one instance knows. It
-// works without an authority: instances tell each other of strikes, also those that start later
-// (Recent), and store the quarantined requests where these find them. It is not safe for
+// works without an authority: instances report strikes to each other, Recent ones also to those
+// that start later, and store the quarantined requests where these find them. It is not safe for
 // concurrent use.
 type Tally struct {
 	suspects *simplelru.LRU[Fingerprint, []timedStrike]
@@ -182,6 +182,9 @@
 	return list
 }
 
+// Suspects returns the number of requests whose strikes are kept.
+func (t *Tally) Suspects() int { return t.suspects.Len() }
+
 // SuspectStrike is a strike of a request.
 type SuspectStrike struct {
 	Fingerprint Fingerprint
--- a/pkg/quarantine/tally_test.go
+++ b/pkg/quarantine/tally_test.go
@@ -168,3 +168,31 @@
 		})
 	}
 }
+
+// Guards against instances that start and aren't given the strikes that still count, or are given
+// those of requests that are quarantined anyway.
+func TestRecentStrikes(t *testing.T) {
+	is := is.New(t)
+	tally := quarantine.NewTally()
+	strike := func(at time.Duration, request byte, target string) {
+		tally.AddStrike(at, quarantine.Fingerprint{request}, quarantine.TallyStrike{Target: target, Incarnation: 1})
+	}
+	strike(0, 1, "a")
+	strike(time.Minute, 2, "a")
+	strike(time.Minute, 3, "a")
+	strike(time.Minute, 3, "b")
+	for _, target := range []string{"a", "b", "c"} {
+		strike(time.Minute, 4, target)
+	}
+	is.Equal(tally.Suspects(), 4)
+	requests := func(now time.Duration, limit int) []byte {
+		var list []byte
+		for _, s := range tally.Recent(now, limit) {
+			list = append(list, s.Fingerprint[0])
+		}
+		return list
+	}
+	is.Equal(requests(time.Minute, 64), []byte{3, 3, 2, 1}) // the latest first, 4 is quarantined
+	is.Equal(requests(time.Minute, 3), []byte{3, 3, 2})
+	is.Equal(requests(quarantine.TallyTerm+1, 64), []byte{3, 3, 2}) // that of 1 is too old
+}
