Comments: what the memory account counts

Read once more as a newcomer: three comments in the handler and three in package memory spoke of bodies alone. No code changed.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -29,8 +29,8 @@
 	DefaultMaxBodyBytes = 1 << 20
 	// DefaultMaxRequests limits the requests in progress.
 	DefaultMaxRequests = 4096
-	// DefaultMaxBytes limits the total size of the request bodies in memory, also of those that
-	// are still coming in.
+	// DefaultMaxBytes limits what is held in memory for requests: bodies, also those that are
+	// still coming in, and beginnings of answers.
 	DefaultMaxBytes = 256 << 20
 	// writeSlack is how long after a request's deadline its answer may still be
 	// written to a slow caller.
@@ -51,7 +51,7 @@
 	running atomic.Int64
 	// relayed is the number of requests of other instances among running.
 	relayed atomic.Int64
-	// memory counts the bodies in memory.
+	// memory counts bodies and beginnings of answers.
 	memory *memory.Account
 	// idPrefix is random and distinguishes the request ids of this process from
 	// those of others; sequence numbers them.
@@ -91,8 +91,8 @@
 	return func(h *Handler) { h.maxRequests = int64(n) }
 }
 
-// WithMemory sets the account in which the requests' bodies are counted. By default it is a new one
-// with a limit of DefaultMaxBytes.
+// WithMemory sets the account in which bodies and beginnings of answers are counted. By default it
+// is a new one with a limit of DefaultMaxBytes.
 func WithMemory(a *memory.Account) Option {
 	return func(h *Handler) { h.memory = a }
 }
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -263,8 +263,8 @@
 	}
 }
 
-// watchLinks has an attempt for another instance's caller end once this instance has lost its
-// links to the service: the other instance then tries elsewhere at once.
+// watchLinks ends an attempt for another instance's caller once this instance has lost its links
+// to the service: the other instance then tries elsewhere at once.
 func (r *race) watchLinks(next attempt) {
 	p, ok := next.(*placedAttempt)
 	if !ok || r.exchange.relayed == nil {
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -2,8 +2,9 @@
 // while they come in, and beginnings of answers.
 //
 // All of it is counted in one Account, whose limit follows from the memory that the instance may
-// use. What is held for a request is a Holding. It grows before the bytes are read, so that the
-// limit is never exceeded; a Holding that can't grow refuses its request, which hasn't run then.
+// use. What is held for a head, a body or an answer is a Holding. It grows before the bytes are
+// kept, so that the limit is never exceeded. If it can't grow, a request is refused, which hasn't
+// run then, and less of an answer is kept.
 //
 // The first bytes of each request, up to SmallBytes, may use the whole limit, larger requests
 // seven eighths of it, so that small requests go on while large ones fill the rest. An
@@ -71,7 +72,7 @@
 }
 
 // Open returns a Holding for a request of an organisation; its name is empty if the request
-// belongs to none.
+// belongs to none, or that isn't known yet.
 func (a *Account) Open(organisation string) *Holding {
 	return &Holding{
 		account:      a,
@@ -79,8 +80,8 @@
 	}
 }
 
-// Holding is what is held for one request. It is safe for concurrent use. The account's mu guards
-// its bytes and closed.
+// Holding is what is held for one head, body or answer. It is safe for concurrent use. The
+// account's mu guards bytes and closed.
 type Holding struct {
 	account      *Account
 	organisation string
