Refuse a path only if a reading of it demands more than its route

Callers saw: 404 for paths that a prefix begins (/desk//lobby/1, /desk/%6cobby/1, /desk/lobby%2f1), although the route of their bytes asks for more than the one that a target might take them for.

Cause: a path had a route only if all its readings had the same one.

Evidence: the rows of TestKeyIsCheckedByTheRouteThatBeginsThePath that now say 401 and 200 were 404; TestAmbiguousPathIsCountedAndNamesBothRoutes failed: nothing told operators why.

Why it works: the bytes select the route. Other readings (decoded, merged slashes, dots resolved, backslashes, without parameters, in any order) only refuse the request, and only if one has no route, or one that asks for a key, a single run or a cost that the selected one does not. Such refusals are counted and name both routes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -115,7 +115,7 @@
 	most := allowedAttempts(x.route)
 	if s := x.handler.deps.Snapshots.Current(); s != x.snapshot && s.Index != nil {
 		// A document that has come into force meanwhile may allow fewer.
-		route := matchRoute(s.Index, x.request)
+		route := selectRoute(s.Index, x.request).Route
 		if route != nil && route.Name == x.route.Name {
 			most = min(most, allowedAttempts(route))
 		}
@@ -496,6 +496,11 @@
 	return out
 }
 
+func cloneURL(r *http.Request) *url.URL {
+	u := *r.URL
+	return &u
+}
+
 // setBody gives a request the body that the caller sent.
 func (x *exchange) setBody(out *http.Request) {
 	if x.body.size > 0 {
@@ -504,11 +509,6 @@
 	}
 }
 
-func cloneURL(r *http.Request) *url.URL {
-	u := *r.URL
-	return &u
-}
-
 // classifyFailure returns the outcome of an attempt that got no response.
 func (p *placedAttempt) classifyFailure(ctx context.Context, err *forward.Error) failedAttempt {
 	var refusal *Refusal
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -169,7 +169,15 @@
 		}
 	}
 	r := x.request
-	route := matchRoute(s.Index, r)
+	selection := selectRoute(s.Index, r)
+	if selection.Refused != nil {
+		x.logAmbiguousPath(selection)
+		return &Refusal{
+			Status: http.StatusNotFound,
+			Reason: "ambiguous-path",
+		}
+	}
+	route := selection.Route
 	if route == nil {
 		return &Refusal{
 			Status: http.StatusNotFound,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -171,13 +171,13 @@
 	if s.Index == nil {
 		return false
 	}
-	route := matchRoute(s.Index, r)
+	route := selectRoute(s.Index, r).Route
 	return route != nil && route.MayRepeat(r.Method)
 }
 
-// matchRoute returns the route of a request, or nil.
-func matchRoute(x *document.Index, r *http.Request) *document.Route {
-	return x.MatchEscaped(r.Host, r.URL.EscapedPath(), r.URL.Path, r.Method)
+// selectRoute selects the route of a request.
+func selectRoute(x *document.Index, r *http.Request) document.Selection {
+	return x.Select(r.Host, r.URL.EscapedPath(), r.Method)
 }
 
 // newExchange returns the exchange of a request that has just arrived.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionmux/internal/forward"
+	"dandelionmux/pkg/document"
 )
 
 // Explainer is implemented by slots that can report why their target was chosen.
@@ -112,6 +113,22 @@
 		slog.Duration("Took", time.Since(x.began)))
 }
 
+// logAmbiguousPath logs which route the path's bytes select, and to which one a target may take it
+// past the first one's checks. Other is empty if that is none.
+func (x *exchange) logAmbiguousPath(s document.Selection) {
+	if !x.handler.logDecisions {
+		return
+	}
+	other := ""
+	if s.Other != nil {
+		other = s.Other.Name
+	}
+	x.handler.logger.LogAttrs(context.Background(), slog.LevelInfo, "ambiguous path",
+		slog.String("Request", x.id),
+		slog.String("Route", s.Refused.Name),
+		slog.String("Other", other))
+}
+
 // logRelay logs that attempt n goes through another instance.
 func (x *exchange) logRelay(relay Relay, n int) {
 	if !x.handler.logDecisions {
--- a/pkg/document/match.go
+++ b/pkg/document/match.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"net/url"
 	"slices"
 	"strings"
 )
@@ -41,34 +42,64 @@
 	return slices.Insert(list, 0, r)
 }
 
-// Match returns the route of a request, or nil. The host may include a port. Among the routes
-// that match the request's host, path and method, the one with the longest prefix wins, then one
-// that names the host, then one that names the method.
-//
-// A target might interpret the path as a different one than is matched here, and the request
-// would bypass the key check of that path's route. So a path with dot elements or a backslash has
-// no route, and one with empty elements or a semicolon only if it has the same route without the
-// empty elements and without what follows a semicolon in its element.
+// Selection is the outcome of selecting a request's route.
+type Selection struct {
+	// Route is the route that serves the request, or nil.
+	Route *Route
+	// Refused is set if a prefix begins the path, but a target may read the path as one that this
+	// route may not serve.
+	Refused *Route
+	// Other is the route of that reading, or nil if it has none.
+	Other *Route
+}
+
+// Match returns the route that Select selects, or nil.
 func (x *Index) Match(host, path, method string) *Route {
-	if path == "" || path[0] != '/' || hasDotElement(path) || strings.IndexByte(path, '\\') >= 0 {
-		return nil
+	return x.Select(host, path, method).Route
+}
+
+// Select selects the route of a request from its path as it was received, with escapes. The host
+// may include a port. Among the routes that match the request's host, path and method, the one
+// with the longest prefix wins, then one that names the host, then one that names the method.
+//
+// A target may read the path differently: decoded, with dot elements resolved, with doubled
+// slashes as one, with backslashes as slashes, or without what follows a semicolon in an element.
+// The request is refused if such a reading has no route, or one that demands more of the caller.
+func (x *Index) Select(host, path, method string) Selection {
+	if path == "" || path[0] != '/' {
+		return Selection{}
 	}
 	host = normaliseHost(host)
 	r := x.longestMatch(host, path, method)
-	if r != nil && !isCleanPath(path) && x.longestMatch(host, plainPath(path), method) != r {
-		return nil
+	if r == nil || isCleanPath(path) {
+		return Selection{
+			Route: r,
+		}
+	}
+	for _, reading := range readings(path) {
+		other := x.longestMatch(host, reading, method)
+		if other != r && (other == nil || other.demandsMore(r, method)) {
+			return Selection{
+				Refused: r,
+				Other:   other,
+			}
+		}
+	}
+	return Selection{
+		Route: r,
 	}
-	return r
 }
 
-// MatchEscaped is Match for a path as it was received. A target might or might not decode
-// escapes, so a path has a route only if it has the same one decoded.
-func (x *Index) MatchEscaped(host, escaped, decoded, method string) *Route {
-	r := x.Match(host, decoded, method)
-	if r != nil && escaped != decoded && x.Match(host, escaped, method) != r {
-		return nil
+// demandsMore reports whether a request that s may serve would bypass a check of r, or might run
+// twice where r allows only one run.
+func (r *Route) demandsMore(s *Route, method string) bool {
+	switch {
+	case s.Open && !r.Open,
+		!s.Open && !r.Open && s.Key != r.Key,
+		s.MayRepeat(method) && !r.MayRepeat(method):
+		return true
 	}
-	return r
+	return !r.Open && s.CostUnits() < r.CostUnits()
 }
 
 // longestMatch returns the route with the longest prefix that the path begins with.
@@ -133,41 +164,107 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// hasDotElement reports whether an element of the path, without what follows a semicolon, is one
-// or two dots.
-func hasDotElement(path string) bool {
-	for element := range strings.SplitSeq(path, "/") {
-		name, _, _ := strings.Cut(element, ";")
-		if name == "." || name == ".." {
-			return true
+// readings returns the paths that targets may take a path for, decoded once at most.
+func readings(path string) []string {
+	type reading struct {
+		path    string
+		decoded bool
+	}
+	all := []reading{
+		{
+			path: path,
+		},
+	}
+	add := func(path string, decoded bool) {
+		next := reading{
+			path:    path,
+			decoded: decoded,
+		}
+		if !slices.Contains(all, next) {
+			all = append(all, next)
+		}
+	}
+	for i := 0; i < len(all); i++ {
+		p, decoded := all[i].path, all[i].decoded
+		if !decoded && strings.IndexByte(p, '%') >= 0 {
+			if plain, err := url.PathUnescape(p); err == nil {
+				add(plain, true)
+			}
+		}
+		for _, read := range []func(string) string{
+			slashBackslashes,
+			cutParameters,
+			mergeSlashes,
+			resolveDots,
+		} {
+			add(read(p), decoded)
 		}
 	}
-	return false
+	paths := make([]string, 0, len(all))
+	for _, r := range all {
+		paths = append(paths, r.path)
+	}
+	return paths
+}
+
+func slashBackslashes(path string) string {
+	return strings.ReplaceAll(path, "\\", "/")
+}
+
+// cutParameters returns the path without what follows a semicolon in its element.
+func cutParameters(path string) string {
+	if strings.IndexByte(path, ';') < 0 {
+		return path
+	}
+	elements := strings.Split(path, "/")
+	for i, element := range elements {
+		elements[i], _, _ = strings.Cut(element, ";")
+	}
+	return strings.Join(elements, "/")
 }
 
-// plainPath returns the path without empty elements, and without what follows a semicolon in its
-// element.
-func plainPath(path string) string {
+// mergeSlashes returns the path with each run of slashes as one.
+func mergeSlashes(path string) string {
+	if !strings.Contains(path, "//") {
+		return path
+	}
 	var b strings.Builder
-	for element := range strings.SplitSeq(path[1:], "/") {
-		if name, _, _ := strings.Cut(element, ";"); name != "" {
-			b.WriteByte('/')
-			b.WriteString(name)
+	for i := range len(path) {
+		if i == 0 || path[i] != '/' || path[i-1] != '/' {
+			b.WriteByte(path[i])
 		}
 	}
-	last := path[strings.LastIndexByte(path, '/')+1:]
-	if name, _, _ := strings.Cut(last, ";"); name == "" {
-		b.WriteByte('/')
-	}
 	return b.String()
 }
 
-// isCleanPath reports whether a path begins with a slash and has no empty or dot
-// elements, no backslash and no semicolon. Some servers treat a backslash as a
-// slash and a semicolon as the end of an element. A single trailing slash is
-// allowed.
+// resolveDots returns the path without its dot elements, as RFC 3986, section 5.2.4, says.
+func resolveDots(path string) string {
+	if !strings.Contains(path, "/.") {
+		return path
+	}
+	elements := strings.Split(path[1:], "/")
+	kept := elements[:0]
+	for i, element := range elements {
+		last := i == len(elements)-1
+		switch element {
+		case ".":
+		case "..":
+			kept = kept[:max(len(kept)-1, 0)]
+		default:
+			kept = append(kept, element)
+			continue
+		}
+		if last {
+			kept = append(kept, "")
+		}
+	}
+	return "/" + strings.Join(kept, "/")
+}
+
+// isCleanPath reports whether a path begins with a slash and all its readings are the path itself.
+// A single trailing slash is allowed.
 func isCleanPath(path string) bool {
-	if path == "" || path[0] != '/' || strings.ContainsAny(path, "\\;") {
+	if path == "" || path[0] != '/' || strings.ContainsAny(path, "\\;%") {
 		return false
 	}
 	begin := 1
