Send the path to targets as the caller sent it

Callers saw: a target got /tally/a%7Cb for /tally/a|b (also for " < > ^ ` { } and backslashes).

Cause: net/http escapes what RFC 3986 does not allow in a path when it writes a request.

Why it works: the received path goes out as it is, and selects the route as it is. Fingerprints of requests keep the escaped form, so that all builds agree on them. Not covered: such a character in a path that begins with two slashes.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -287,7 +287,7 @@
 		Organisation: x.organisation,
 		Route:        x.route.Name,
 		Method:       x.request.Method,
-		Path:         x.out.URL.RequestURI(),
+		Path:         escapedURI(x.out.URL),
 		BodyDigest:   x.body.digest,
 		Deadline:     x.deadline,
 	})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -177,7 +177,7 @@
 
 // selectRoute selects the route of a request.
 func selectRoute(x *document.Index, r *http.Request) document.Selection {
-	return x.Select(r.Host, r.URL.EscapedPath(), r.Method)
+	return x.Select(r.Host, receivedPath(r), r.Method)
 }
 
 // newExchange returns the exchange of a request that has just arrived.
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strings"
 )
 
@@ -24,7 +25,7 @@
 func forwardableRequest(r *http.Request) *http.Request {
 	out := &http.Request{
 		Method: r.Method,
-		URL:    cloneURL(r),
+		URL:    forwardableURL(r),
 		Host:   r.Host,
 		Header: r.Header.Clone(),
 	}
@@ -38,6 +39,34 @@
 	return out
 }
 
+// forwardableURL returns a copy of the request's URL that has the path as it was received.
+func forwardableURL(r *http.Request) *url.URL {
+	u := *r.URL
+	// With Opaque, net/http doesn't escape what RFC 3986 doesn't allow in a path. It would take a
+	// host from one that begins with two slashes.
+	if path := receivedPath(r); path != u.EscapedPath() && !strings.HasPrefix(path, "//") {
+		u.Opaque = path
+	}
+	return &u
+}
+
+// escapedURI returns the path and query of a forwardable URL with all characters escaped that RFC
+// 3986 doesn't allow. Fingerprints of requests are made of it on all builds.
+func escapedURI(u *url.URL) string {
+	escaped := *u
+	escaped.Opaque = ""
+	return escaped.RequestURI()
+}
+
+// receivedPath returns the request's path as its caller sent it, with escapes.
+func receivedPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // dropHopHeaders removes the hop-by-hop headers, including those that the
 // Connection header names.
 func dropHopHeaders(h http.Header) {
