Give up a copy whose answer stops in the middle

Callers saw: a change was in force 2.1 to 2.5 s after its confirmation (2 s allowed) at calm instances, while two or more that come first in their zone had sent the head of an answer and nothing more, as a process does that stops in the middle of one.

Cause: only the wait for the head followed from the age of the last confirmation.

Evidence: TestChangeIsInForceWhileFirstInstancesStandStill with members that answer heads or the beginning of a body failed in all three new cases: 2.14 to 2.55 s.

Why it works: the time to give an instance up now holds for its body, too; past it, an answer that goes on may do so while it never stops for 50 ms. An instance without content waits as before. Result: the cases pass, also under the race detector. Besides, readers that have stood still for 0.3 to 2.2 s before the change are simulated; that passed at once.

--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -32,6 +32,9 @@
 	// copyTimeout bounds the wait for a reader's answer to begin, which may be held for two
 	// thirds of it. Instances have only a part of a CPU core and may stall for a while.
 	copyTimeout = 1200 * time.Millisecond
+	// stallTime is how long nothing more may come of an answer that has begun, once the time for
+	// its beginning is over.
+	stallTime = 50 * time.Millisecond
 	// firstCopyTimeout bounds the whole answer to an instance that has nothing yet: all
 	// content takes a while over a slow link.
 	firstCopyTimeout = 4 * time.Second
@@ -112,7 +115,7 @@
 	Known uint64
 	// Differs tells the other that its content differs from a list of the store.
 	Differs bool
-	// Patience is how long to wait for the head of the answer.
+	// Patience is how long to wait for the answer to begin, or to go on.
 	Patience time.Duration
 }
 
@@ -428,7 +431,11 @@
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
-	response, err := g.awaitHead(request, m.Patience)
+	stall := stallTime
+	if m.After.Counter == 0 {
+		stall = firstCopyTimeout
+	}
+	response, err := g.fetch(request, m.Patience, stall)
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
@@ -449,36 +456,71 @@
 	return decodeMirrorCopy(content)
 }
 
-// awaitHead sends a request to another instance, and waits for the head of its answer up to
-// patience.
-func (g *Gateway) awaitHead(r *http.Request, patience time.Duration) (*http.Response, error) {
-	ctx, cancel := context.WithCancel(r.Context())
-	timer := time.AfterFunc(patience, cancel)
+// fetch sends a request to another instance. It is given up when nothing has come after patience,
+// or later no more for stallTime. An instance without content takes its time: nothing depends on
+// it yet.
+func (g *Gateway) fetch(r *http.Request, patience, stallTime time.Duration) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	body := &patientBody{
+		ctx:       ctx,
+		until:     time.Now().Add(patience),
+		stallTime: stallTime,
+		timer:     time.AfterFunc(patience, func() { cancel(os.ErrDeadlineExceeded) }),
+		cancel:    cancel,
+	}
 	response, err := g.peerClient.Do(r.WithContext(ctx))
-	inTime := timer.Stop()
 	if err != nil {
-		cancel()
-		if !inTime {
-			err = os.ErrDeadlineExceeded
-		}
+		body.timer.Stop()
+		err = body.cause(err)
+		cancel(nil)
 		return nil, err
 	}
-	response.Body = &cancelledBody{
-		ReadCloser: response.Body,
-		cancel:     cancel,
-	}
+	body.ReadCloser = response.Body
+	body.extend()
+	response.Body = body
 	return response, nil
 }
 
-// cancelledBody ends its request's context when it is closed.
-type cancelledBody struct {
+// patientBody is the body of an answer that is given up when no more of it comes.
+type patientBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	ctx context.Context
+	// until is the earliest time at which it is given up, and timer ends its request then.
+	until     time.Time
+	stallTime time.Duration
+	timer     *time.Timer
+	cancel    context.CancelCauseFunc
+}
+
+// extend gives the rest of the body stallTime at least.
+func (b *patientBody) extend() {
+	b.timer.Reset(max(time.Until(b.until), b.stallTime))
+}
+
+// cause returns os.ErrDeadlineExceeded in place of an error that comes from giving up.
+func (b *patientBody) cause(err error) error {
+	if context.Cause(b.ctx) == os.ErrDeadlineExceeded {
+		return os.ErrDeadlineExceeded
+	}
+	return err
+}
+
+// Read implements io.Reader.
+func (b *patientBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.extend()
+	}
+	if err != nil && err != io.EOF {
+		err = b.cause(err)
+	}
+	return n, err
 }
 
-// Close implements io.Closer.
-func (b *cancelledBody) Close() error {
-	defer b.cancel()
+// Close implements io.Closer. It ends the request's context.
+func (b *patientBody) Close() error {
+	b.timer.Stop()
+	defer b.cancel(nil)
 	return b.ReadCloser.Close()
 }
 
--- a/internal/gateway/mirrorcopy_test.go
+++ b/internal/gateway/mirrorcopy_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -60,31 +61,65 @@
 }
 
 // silentMembers registers instances of zone a that come first in order and accept connections
-// without ever answering, as processes that stand still do.
-func (f *testFleet) silentMembers(number int) {
+// without ever answering, as processes that stand still do. With a beginning they answer with that
+// and no more, as processes that stop in the middle of an answer do.
+func (f *testFleet) silentMembers(number int, beginning string) {
 	f.t.Helper()
 	for range number {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		is.New(f.t).NoErr(err)
 		f.t.Cleanup(func() { _ = l.Close() })
+		if beginning != "" {
+			go answerInPart(l, beginning)
+		}
 		f.memory.put("dandelionmux/members/"+l.Addr().String(), []byte(`{"Zone":"a","Incarnation":1,"Capacity":100}`), 0)
 	}
 }
 
+// answerInPart answers one request of each connection with a beginning.
+func answerInPart(l net.Listener, beginning string) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, beginning)
+			}
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}()
+	}
+}
+
 // Guards against instances that get a change too late because the instances that come first in
-// their zone stand still.
+// their zone stand still, before they answer or in the middle of an answer.
 func TestChangeIsInForceWhileFirstInstancesStandStill(t *testing.T) {
 	const (
 		changeTime = 2 * time.Second
 		changes    = 16
 		pause      = 300 * time.Millisecond
 	)
-	for _, silent := range []int{1, 2, 4} {
-		t.Run(fmt.Sprint(silent), func(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+	tests := []struct {
+		name      string
+		silent    int
+		beginning string
+	}{
+		{name: "1", silent: 1},
+		{name: "2", silent: 2},
+		{name: "4", silent: 4},
+		{name: "2 after a head", silent: 2, beginning: head},
+		{name: "4 after a head", silent: 4, beginning: head},
+		{name: "3 in a body", silent: 3, beginning: head + "\x08"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			f := newTestFleet(t, 3, 1)
-			f.silentMembers(silent)
+			f.silentMembers(tt.silent, tt.beginning)
 			for i := range changes {
 				path := fmt.Sprintf("/path-%d", i)
 				f.configure(configuration{
--- a/pkg/source/fleet_test.go
+++ b/pkg/source/fleet_test.go
@@ -811,6 +811,42 @@
 	}
 }
 
+// Guards against a change that is known too late because the instances that come first in order have
+// stood still for some time already, so that their followers are in the midst of giving them up.
+func TestChangeIsKnownThoughReadersStoodStillBefore(t *testing.T) {
+	const (
+		instances = 30
+		step      = 150 * time.Millisecond
+	)
+	for _, frozen := range []int{2, 3, 5} {
+		for _, before := range []time.Duration{
+			300 * time.Millisecond,
+			900 * time.Millisecond,
+			1300 * time.Millisecond,
+			2200 * time.Millisecond,
+		} {
+			t.Run(fmt.Sprint(frozen, " ", before), func(t *testing.T) {
+				t.Parallel()
+				for afterRead := time.Duration(0); afterRead < confirmPeriod; afterRead += step {
+					f := newFleet(1, instances, uint64(afterRead))
+					f.startAll()
+					f.Run(5*time.Second + afterRead)
+					for _, m := range source.Order("0", f.members())[:frozen] {
+						f.instance(m.Address).frozen = true
+					}
+					f.Run(before)
+					f.resetMeasures()
+					f.change()
+					f.Run(3 * time.Second)
+					if _, lag := f.worst(); lag >= maxChangeTime {
+						t.Errorf("%d stand still %v after a read: change known after %v", frozen, afterRead, lag)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against a change that calm instances know too late for any mix of failures among those
 // that come before them in order.
 func TestChangeIsKnownWhateverFailsBefore(t *testing.T) {
