Use a target again that was slow, not unresponsive

Cause: evidence of slow answers ejects a target as one that has stopped answering, for 3 s, and for 3 s more it gets no writes. The answers to the requests that were in flight then refuted that and were ignored: only ejections for lost connections end early.

TestUnresponsiveTargetThatAnswersIsUsedAgain failed before.

Why it works: the ejection and its probation end once half of the requests that were in flight, two at least, have been answered; instances tell each other of such answers as of those after a lost connection. A target that leaves three quarters unanswered stays out.

--- a/pkg/outlier/evidence.go
+++ b/pkg/outlier/evidence.go
@@ -176,6 +176,9 @@
 // from now on.
 func (t *Table) ejectUnresponsive(now time.Duration, s *targetState) {
 	s.eject(now, false)
+	if s.answersNeeded == 0 && !s.lostRequests {
+		s.answersNeeded = max((s.inUse(now)+1)/2, laterSuccesses)
+	}
 	s.evidence = 0
 	for _, p := range t.pending {
 		if p.target == s {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -112,6 +112,9 @@
 	// laterSuccesses counts the successes of attempts that began after it.
 	failedBegan    time.Duration
 	laterSuccesses int
+	// answersNeeded is how many more answers end the ejection of a target that seemed to have stopped
+	// answering; zero if it was ejected for something else.
+	answersNeeded int
 	// lostRequests is set if a connection died or was refused during this ejection or
 	// probation; it is false after only timeouts, truncated answers or server errors.
 	lostRequests bool
@@ -518,11 +521,20 @@
 
 // LaterSuccess records that an attempt which began at a time has succeeded. If its target has
 // been ejected meanwhile because a connection had died under an earlier attempt, it may
-// lose single answers only. LaterSuccess reports whether the success counts for that, so
-// that the other instances should be told.
+// lose single answers only. If it seemed to have stopped answering, it was only slow once half of the
+// requests that were in flight have been answered. LaterSuccess reports whether the success counts
+// for that, so that the other instances should be told.
 func (t *Table) LaterSuccess(now time.Duration, name string, began time.Duration) bool {
 	s := t.targets[name]
-	if s == nil || now >= s.ejectedUntil || !s.lostRequests || began <= s.failedBegan {
+	switch {
+	case s == nil || now >= s.ejectedUntil:
+		return false
+	case s.answersNeeded > 0:
+		if s.answersNeeded--; s.answersNeeded == 0 {
+			s.ejectedUntil, s.probationUntil = now, now
+		}
+		return true
+	case !s.lostRequests || began <= s.failedBegan:
 		return false
 	}
 	s.laterSuccesses++
@@ -611,6 +623,9 @@
 // requests is still treated as losing them if it is ejected meanwhile for timeouts or
 // server errors.
 func (s *targetState) eject(now time.Duration, lostRequests bool) {
+	if lostRequests || now >= s.ejectedUntil {
+		s.answersNeeded = 0
+	}
 	s.lostRequests = lostRequests || s.lostRequests && now < s.probationUntil
 	s.successes = 0
 	s.ejectedUntil = now + ejectionTime
--- a/pkg/outlier/unresponsive_test.go
+++ b/pkg/outlier/unresponsive_test.go
@@ -175,6 +175,17 @@
 	})
 }
 
+// reportSuccess tells all instances of an answer from a target that is ejected.
+func (f *simulatedFleet) reportSuccess(from int, name string, began time.Duration) {
+	f.After(messageDelay, func() {
+		for j, other := range f.tables {
+			if j != from {
+				other.LaterSuccess(f.Now(), name, began)
+			}
+		}
+	})
+}
+
 // request sends a request through a random instance, and awaits the next one.
 func (f *simulatedFleet) request() {
 	f.result.requests++
@@ -205,6 +216,9 @@
 			ended = true
 			t.End(p, outlier.Answered)
 			t.Done(f.Now(), chosen.Name, target.Succeeded)
+			if t.LaterSuccess(f.Now(), chosen.Name, sentAt) {
+				f.reportSuccess(i, chosen.Name, sentAt)
+			}
 			l.Add("route", f.Now()-sentAt)
 			f.result.served++
 		})
@@ -383,3 +397,54 @@
 		})
 	}
 }
+
+// Guards against a target that is out of use for seconds, for writes even for six, because its
+// answers took long once and it was taken for one that has stopped answering. One that leaves most of
+// its requests unanswered stays ejected.
+func TestUnresponsiveTargetThatAnswersIsUsedAgain(t *testing.T) {
+	tests := []struct {
+		name              string
+		inFlight, answers int
+		before            func(*outlier.Table)
+		inUse             bool
+	}{
+		{name: "no answer", inFlight: 6},
+		{name: "a quarter is answered", inFlight: 8, answers: 2},
+		{name: "half is answered", inFlight: 8, answers: 4, inUse: true},
+		{name: "one of two is answered", inFlight: 2, answers: 1},
+		{name: "both are answered", inFlight: 2, answers: 2, inUse: true},
+		{
+			name:     "it had lost requests before",
+			inFlight: 4,
+			answers:  4,
+			before: func(t *outlier.Table) {
+				t.ReceiveOutcome(now-4*time.Second, "desk-03", target.Crashed) // on probation now
+				t.FailureBegan(now-4*time.Second, "desk-03", now)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(11)
+			if tt.before != nil {
+				tt.before(table)
+			}
+			table.ReceiveLoad(now, "other", outlier.Load{
+				Target:  "desk-03",
+				Running: tt.inFlight,
+			}, time.Second)
+			table.ReceiveUnresponsive(now, "desk-03")
+			table.ReceiveUnresponsive(now, "desk-03") // each zone tells
+			table.ReceiveLoad(now, "other", outlier.Load{
+				Target: "desk-03",
+			}, time.Second)
+			for i := range tt.answers {
+				counts := table.LaterSuccess(now, "desk-03", now-time.Duration(i)*time.Second)
+				is.Equal(counts, tt.before == nil)
+			}
+			is.Equal(chosen(table, now, outlier.Request{})["desk-03"] > 0, tt.inUse)
+			is.True(!table.LaterSuccess(now+10*time.Second, "desk-03", now))
+		})
+	}
+}
