--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -499,7 +499,7 @@
 
 // cause returns os.ErrDeadlineExceeded in place of an error that comes from giving up.
 func (b *patientBody) cause(err error) error {
-	if context.Cause(b.ctx) == os.ErrDeadlineExceeded {
+	if errors.Is(context.Cause(b.ctx), os.ErrDeadlineExceeded) {
 		return os.ErrDeadlineExceeded
 	}
 	return err
@@ -511,7 +511,7 @@
 	if n > 0 {
 		b.extend()
 	}
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		err = b.cause(err)
 	}
 	return n, err
