Bound the readings of a path that are looked at

Cause: looks at all orders in which a target may clean a path.

Why it works: above 64 readings, or 8 KB for a path that is not clean, the request is refused as an ambiguous path.

--- a/pkg/document/index_test.go
+++ b/pkg/document/index_test.go
@@ -306,6 +306,33 @@
 	})
 }
 
+// Guards against paths whose many readings take an instance's processor time.
+func TestReadingsOfAPathAreBounded(t *testing.T) {
+	x := document.NewIndex(document.Document{
+		Routes: []document.Route{
+			route("all", "", "/"),
+			route("deep", "", "/a/b/c"),
+		},
+	})
+	tests := []struct {
+		name, path string
+		refused    bool
+	}{
+		{name: "many readings", path: `/%3ba%5c/.;./\/..%2e%5c/.%25%5c%2f//..//.\%2f/;/%2e;;.`, refused: true},
+		{name: "long", path: strings.Repeat("/a%20b", 2000), refused: true},
+		{name: "long and plain", path: strings.Repeat("/ab", 20_000)},
+		{name: "some escapes", path: strings.Repeat("/a%20b", 1000)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := x.Select("h", tt.path, "GET")
+			if refused := got.Refused != nil; refused != tt.refused || refused == (got.Route != nil) {
+				t.Fatalf("got %+v", got)
+			}
+		})
+	}
+}
+
 func TestLookupsDoNotAllocate(t *testing.T) {
 	is := is.New(t)
 	x := document.NewIndex(largeDocument())
--- a/pkg/document/match.go
+++ b/pkg/document/match.go
@@ -64,7 +64,8 @@
 //
 // A target may read the path differently: decoded, with dot elements resolved, with doubled
 // slashes as one, with backslashes as slashes, or without what follows a semicolon in an element.
-// The request is refused if such a reading has no route, or one that demands more of the caller.
+// The request is refused if such a reading has no route, or one that demands more of the caller, and
+// if there are too many readings to look at.
 func (x *Index) Select(host, path, method string) Selection {
 	if path == "" || path[0] != '/' {
 		return Selection{}
@@ -76,7 +77,13 @@
 			Route: r,
 		}
 	}
-	for _, reading := range readings(path) {
+	paths, all := readings(path)
+	if !all {
+		return Selection{
+			Refused: r,
+		}
+	}
+	for _, reading := range paths {
 		other := x.longestMatch(host, reading, method)
 		if other != r && (other == nil || other.demandsMore(r, method)) {
 			return Selection{
@@ -164,8 +171,18 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// readings returns the paths that targets may take a path for, decoded once at most.
-func readings(path string) []string {
+// Limits of the readings that are looked at, which bound the time that a request can take.
+const (
+	maxReadings      = 64
+	maxReadPathBytes = 8 << 10
+)
+
+// readings returns the paths that targets may take a path for, decoded once at most. It reports
+// false if they are too many, or too long.
+func readings(path string) ([]string, bool) {
+	if len(path) > maxReadPathBytes {
+		return nil, false
+	}
 	type reading struct {
 		path    string
 		decoded bool
@@ -185,6 +202,9 @@
 		}
 	}
 	for i := 0; i < len(all); i++ {
+		if len(all) > maxReadings {
+			return nil, false
+		}
 		p, decoded := all[i].path, all[i].decoded
 		if !decoded && strings.IndexByte(p, '%') >= 0 {
 			if plain, err := url.PathUnescape(p); err == nil {
@@ -204,7 +224,7 @@
 	for _, r := range all {
 		paths = append(paths, r.path)
 	}
-	return paths
+	return paths, true
 }
 
 func slashBackslashes(path string) string {
