--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -1,16 +1,17 @@
-// Package admission orders the requests that wait for a slot of a service.
 package admission
 
 import "time"
 
 // Entry is a request that waits for a slot.
 type Entry[T any] struct {
-	ID           uint64
+	// ID identifies the request. The caller chooses it; it must be unique in the queue.
+	ID uint64
+	// Rank is the urgency; 0 is the most urgent.
 	Rank         int
 	Organisation string
 	// Deadline is when the response is due, on the clock of now.
 	Deadline time.Duration
-	// ServiceTime is the expected time at a target.
+	// ServiceTime is the expected time at a target; zero means that of the Capacity.
 	ServiceTime time.Duration
 	Value       T
 }
@@ -25,89 +26,54 @@
 type Verdict interface{ verdict() }
 
 // Waits means that the request is queued.
-type Waits struct{ Expected time.Duration }
+type Waits struct {
+	// Expected is the time until the request is expected to get a slot.
+	Expected time.Duration
+}
 
-// Refused means that the request can't be served within its time.
+// Refused means that the request is not queued.
 type Refused struct {
+	// Reason is ReasonNoCapacity, ReasonLate or ReasonFull.
 	Reason     string
 	RetryAfter time.Duration
 }
 
+// Values of Refused.Reason.
+const (
+	// ReasonNoCapacity means that the service has no slots at all.
+	ReasonNoCapacity = "no-capacity"
+	// ReasonLate means that the request can't be served within its time.
+	ReasonLate = "late"
+	// ReasonFull means that the queue has its maximum length and that nothing less
+	// urgent waits.
+	ReasonFull = "queue-full"
+)
+
 func (Waits) verdict()   {}
 func (Refused) verdict() {}
 
 // Option configures a Queue.
 type Option func(*options)
 
-type options struct{}
-
-// Queue holds waiting requests. It is not safe for concurrent use.
-type Queue[T any] struct{ entries []Entry[T] }
-
-// New returns an empty queue.
-func New[T any](...Option) *Queue[T] { return &Queue[T]{} }
-
-// Arrived counts a request of the rank for the minimum share.
-func (q *Queue[T]) Arrived(time.Duration, int) {}
-
-// Served counts a request of the rank that got a slot without waiting.
-func (q *Queue[T]) Served(time.Duration, int) {}
-
-// Expect returns the expected wait of an entry.
-func (q *Queue[T]) Expect(time.Duration, Entry[T], Capacity) time.Duration { return 0 }
-
-// Offer queues an entry or refuses it.
-func (q *Queue[T]) Offer(_ time.Duration, e Entry[T], _ Capacity) Verdict {
-	q.entries = append(q.entries, e)
-	return Waits{}
+type options struct {
+	maxLength int
+	returns   *Returns
 }
 
-// Next dequeues the next entry to serve.
-func (q *Queue[T]) Next(time.Duration) (Entry[T], bool) {
-	if len(q.entries) == 0 {
-		return Entry[T]{}, false
-	}
-	e := q.entries[0]
-	q.entries = q.entries[1:]
-	return e, true
-}
-
-// PutBack returns an entry to its place because no slot was suitable.
-func (q *Queue[T]) PutBack(_ time.Duration, e Entry[T]) { q.entries = append([]Entry[T]{e}, q.entries...) }
+// defaultMaxLength bounds memory only: the time left of callers bounds the queue long
+// before, unless a service has thousands of slots.
+const defaultMaxLength = 10_000
 
-// Expire removes and returns the entries that can no longer be served.
-func (q *Queue[T]) Expire(time.Duration, Capacity) []Entry[T] { return nil }
-
-// Remove removes an entry and reports whether it was queued.
-func (q *Queue[T]) Remove(id uint64) bool {
-	for i, e := range q.entries {
-		if e.ID == id {
-			q.entries = append(q.entries[:i:i], q.entries[i+1:]...)
-			return true
-		}
+// WithMaxLength sets how many entries may wait; the default is 10,000.
+func WithMaxLength(n int) Option {
+	return func(o *options) {
+		o.maxLength = max(n, 1)
 	}
-	return false
 }
 
-// Len returns the number of entries.
-func (q *Queue[T]) Len() int { return len(q.entries) }
-
-// Waiting returns the number of entries by rank.
-func (q *Queue[T]) Waiting() map[int]int {
-	counts := map[int]int{}
-	for _, e := range q.entries {
-		counts[e.Rank]++
+// WithReturns sets the schedule for Refused.RetryAfter. By default each queue has its own.
+func WithReturns(r *Returns) Option {
+	return func(o *options) {
+		o.returns = r
 	}
-	return counts
-}
-
-// Returns schedules the return of refused callers.
-type Returns struct{}
-
-// NewReturns returns an empty schedule.
-func NewReturns() *Returns { return &Returns{} }
-
-// Schedule returns after which time a refused caller may come back.
-func (r *Returns) Schedule(_ time.Duration, _ int, left time.Duration, _ int, _ float64) time.Duration {
-	return left / 3
 }
--- /dev/null
+++ b/pkg/admission/wait.go
@@ -0,0 +1,202 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"dandelionmux/pkg/meter"
+)
+
+const (
+	// grantSpan is the time over which grants are counted, and minGrantSpan the shortest
+	// time from which a rate follows.
+	grantSpan    = 2 * time.Second
+	minGrantSpan = 500 * time.Millisecond
+	// maxWait stands for a wait without end.
+	maxWait = time.Hour
+	// minServiceTime keeps rates finite.
+	minServiceTime = time.Millisecond
+)
+
+// grantRate measures how fast slots become free while requests wait.
+type grantRate struct {
+	window *meter.Window
+	// active is set while requests wait, and also after all of them were refused or
+	// withdrawn, until a slot is seen free or grantSpan has passed: otherwise a queue
+	// that was emptied by refusals would trust the nominal capacity again.
+	active bool
+	since  time.Duration
+	// last is when the rate was last used.
+	last time.Duration
+}
+
+// start begins a measurement unless one goes on.
+func (g *grantRate) start(now time.Duration) {
+	if g.active && now-g.last < grantSpan {
+		return
+	}
+	g.active = true
+	g.since = now
+	g.last = now
+	g.window = meter.NewWindow(grantSpan)
+}
+
+// stop ends the measurement: a slot is free for requests that don't wait.
+func (g *grantRate) stop() { g.active = false }
+
+// correct returns the rate, or what the grants seen lately allow if that is lower. One
+// standard deviation of the count is allowed for.
+func (g *grantRate) correct(now time.Duration, rate float64, waiting bool) float64 {
+	if !g.active || now-g.since < minGrantSpan || now-g.last >= grantSpan {
+		return rate
+	}
+	if waiting {
+		g.last = now
+	}
+	n := max(g.window.Sum(now), 0)
+	return min(rate, (n+math.Sqrt(n)+1)/min(now-g.since, grantSpan).Seconds())
+}
+
+// slotRate returns the rate at which slots become free.
+func (q *Queue[T]) slotRate(now time.Duration, c Capacity) float64 {
+	rate := float64(max(c.Slots, 0)) / max(c.ServiceTime, minServiceTime).Seconds()
+	return q.grants.correct(now, rate, len(q.items) > 0)
+}
+
+// shares returns the share of each rank in the arrivals.
+func (q *Queue[T]) shares(now time.Duration) []float64 {
+	shares := make([]float64, len(q.ranks))
+	all, latest := 0.0, 0.0
+	for _, r := range q.ranks {
+		all += r.arrivals.Sum(now)
+		latest += r.latest.Sum(now)
+	}
+	for i, r := range q.ranks {
+		if all > 0 {
+			shares[i] = r.arrivals.Sum(now) / all
+		}
+		if latest > 0 {
+			shares[i] = max(shares[i], r.latest.Sum(now)/latest)
+		}
+	}
+	return shares
+}
+
+// outlook is what a rank may expect.
+type outlook struct {
+	// urgent is the number of waiting entries of more urgent ranks.
+	urgent int
+	// rate is the rate of slots for the rank once these are served: what the arrivals of
+	// more urgent ranks and the minimum shares of less urgent ones leave, at least its
+	// own minimum share.
+	rate float64
+	// certain is the rate if no more urgent request arrives.
+	certain float64
+	// floor is the rate of the rank's minimum share, and credit what it is owed already.
+	floor  float64
+	credit float64
+}
+
+// outlook returns what a rank may expect if slots become free at a rate.
+func (q *Queue[T]) outlook(now time.Duration, r *rank[T], slotRate float64) outlook {
+	o := outlook{
+		credit: r.credit,
+	}
+	reserved, arriving := 0.0, 0.0
+	shares := q.shares(now)
+	for i, other := range q.ranks {
+		share := minShare * shares[i] * slotRate
+		switch {
+		case other == r:
+			o.floor = share
+		case other.number < r.number:
+			o.urgent += other.waiting
+			arriving += max(other.arrivals.Sum(now)/arrivalSpan.Seconds(), other.latest.Sum(now)/latestSpan.Seconds())
+		case other.waiting > 0:
+			reserved += share
+		}
+	}
+	o.certain = max(slotRate-reserved, o.floor)
+	o.rate = max(slotRate-reserved-arriving, o.floor)
+	return o
+}
+
+// wait returns the expected wait of an entry of the rank with a number of entries of its
+// rank before it, if slots remain for the rank at a rate. Half an interval passes on
+// average until the first slot is free.
+func (o outlook) wait(before int, rate float64) time.Duration {
+	ordered := (float64(o.urgent+before) + 0.5) / rate
+	owed := max(float64(before)+1-o.credit, 0.5) / o.floor
+	seconds := min(ordered, owed)
+	if !(seconds < maxWait.Seconds()) { // also without any rate
+		return maxWait
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Expect returns the expected wait of an entry. It counts the entries that are served
+// before it now, and those that are expected to arrive meanwhile and to go before it.
+func (q *Queue[T]) Expect(now time.Duration, e Entry[T], c Capacity) time.Duration {
+	r := q.rank(e.Rank)
+	o := q.outlook(now, r, q.slotRate(now, c))
+	// Entries with much time left keep a part of the slots, as ranks do: they are served
+	// when they are as close to their deadlines as those that overtake them.
+	rate := max(o.rate-r.overtaking(now, e.Organisation, e.Deadline-now), minShare*o.rate)
+	return o.wait(r.before(e.Organisation, e.Deadline), rate)
+}
+
+// Expire removes and returns the entries that can no longer be served, given what is
+// certainly served before them, and those that were displaced. The caller calls it some
+// times a second, and when the capacity shrinks. RetryAfter schedules their return.
+func (q *Queue[T]) Expire(now time.Duration, c Capacity) []Entry[T] {
+	rate := q.slotRate(now, c)
+	if len(q.items) <= fullScanLength || now-q.scannedAt >= scanInterval || rate < 0.9*q.scannedSlots {
+		q.scannedAt = now
+		q.scannedSlots = rate
+		kept := 0
+		for _, r := range q.ranks {
+			o := q.outlook(now, r, rate)
+			o.urgent = kept
+			hopeless, n := r.hopeless(now, o, c)
+			for _, i := range hopeless {
+				q.lapse(i)
+			}
+			kept += n
+		}
+	}
+	expired := q.lapsed
+	q.lapsed = nil
+	return expired
+}
+
+// hopeless returns the items that can't be served within their time, and the number of
+// the others. It goes through the items in the order in which they are served, so that an
+// item that is removed leaves its place to the next.
+func (r *rank[T]) hopeless(now time.Duration, o outlook, c Capacity) (hopeless []*item[T], kept int) {
+	type turn struct{ items []*item[T] }
+	turns := make([]turn, 0, r.turns.Len())
+	for e := r.turns.Front(); e != nil; e = e.Next() {
+		turns = append(turns, turn{
+			items: e.Value.(*organisation[T]).items,
+		})
+	}
+	for len(turns) > 0 {
+		left := turns[:0]
+		for _, t := range turns {
+			start := now + o.wait(kept, o.certain)
+			for len(t.items) > 0 && start+serviceTime(t.items[0].entry, c) > t.items[0].entry.Deadline {
+				hopeless = append(hopeless, t.items[0])
+				t.items = t.items[1:]
+			}
+			if len(t.items) > 0 {
+				kept++
+				t.items = t.items[1:]
+			}
+			if len(t.items) > 0 {
+				left = append(left, t)
+			}
+		}
+		turns = left
+	}
+	return hopeless, kept
+}
