--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"dandelionmux/pkg/meter"
 )
 
 const (
@@ -16,6 +14,9 @@
 	// callers have less time than passes between two of its grants take its turn when one
 	// of them comes, and keeps a rank that was idle from holding up others.
 	maxCredit = 2
+	// dueCredit is what a rank must be owed to be served before its turn: one grant, less
+	// the error of sums of shares.
+	dueCredit = 1 - 1e-6
 	// offerMargin is the factor of the expected wait that must fit in a caller's time for
 	// it to be queued. It covers the error of the estimate, so that fewer requests are
 	// refused after they have waited.
@@ -24,9 +25,14 @@
 	// it does so once per scanInterval, unless the capacity has shrunk.
 	fullScanLength = 256
 	scanInterval   = 50 * time.Millisecond
+	// shrunkPart is the part of the former rate below which the capacity has shrunk.
+	shrunkPart = 0.9
 	// maxPayments is the number of latest grants of which PutBack restores what the rank
 	// is owed.
 	maxPayments = 64
+	// maxRanks bounds the number of ranks that are told apart, against messages with
+	// arbitrary ranks. Entries of further ranks count as of the least urgent one.
+	maxRanks = 32
 )
 
 // Queue holds waiting requests. It is not safe for concurrent use. Make it with New.
@@ -46,7 +52,9 @@
 	// lastDeadline is the latest deadline since the queue was empty.
 	lastDeadline time.Duration
 	scannedAt    time.Duration
-	scannedSlots float64
+	scannedRate  float64
+	// shareScratch and latestScratch are buffers for shares.
+	shareScratch, latestScratch []float64
 }
 
 // payment is how much of what a rank was owed is paid by a grant.
@@ -77,9 +85,6 @@
 	return &Queue[T]{
 		options: o,
 		items:   map[uint64]*item[T]{},
-		grants: grantRate{
-			window: meter.NewWindow(grantSpan),
-		},
 	}
 }
 
@@ -117,11 +122,11 @@
 		return q.refuse(now, e, c, ReasonFull)
 	}
 	if len(q.items) == 0 {
-		q.grants.start(now)
+		q.grants.start(now, c.ServiceTime)
 		q.lastDeadline = 0
 	}
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
-	q.rank(e.Rank).queued(now, left)
+	q.rank(e.Rank).queued(now, left, e.Organisation)
 	q.sequence++
 	e.ServiceTime = serviceTime(e, c)
 	q.push(e, q.sequence)
@@ -143,7 +148,8 @@
 func (q *Queue[T]) RetryAfter(now time.Duration, e Entry[T], c Capacity) time.Duration {
 	r := q.rank(e.Rank)
 	o := q.outlook(now, r, q.slotRate(now, c))
-	return q.options.returns.Schedule(now, e.Rank, e.Deadline-now, o.urgent+r.waiting, o.rate)
+	before, _ := r.before(e.Organisation, e.Deadline)
+	return q.options.returns.Schedule(now, e.Rank, e.Deadline-now, o.urgent+before, o.rate)
 }
 
 // bound returns how many entries may wait: what the service can serve within the longest
@@ -186,7 +192,7 @@
 		return nil
 	case last.number > own.number:
 		return last.longest()
-	case own.waiting == 0 && own.credit >= 1:
+	case own.waiting == 0 && own.credit >= dueCredit:
 		return first.longest()
 	case own.waiting == 0:
 		return nil
@@ -236,7 +242,7 @@
 	for _, r := range q.ranks {
 		switch {
 		case r.waiting == 0:
-		case next == nil, r.credit >= 1 && r.credit > next.credit:
+		case next == nil, r.credit >= dueCredit && r.credit > next.credit:
 			next = r
 		}
 	}
@@ -246,7 +252,7 @@
 // granted counts a grant of the rank, which adds to what other ranks are owed. It returns
 // how much of what the rank was owed is paid by it.
 func (q *Queue[T]) granted(now time.Duration, to *rank[T]) float64 {
-	q.grants.window.Add(now, 1)
+	q.grants.add(now, 1)
 	shares := q.shares(now)
 	paid := 0.0
 	for i, r := range q.ranks {
@@ -264,22 +270,33 @@
 // suits it.
 func (q *Queue[T]) PutBack(now time.Duration, e Entry[T]) {
 	if len(q.items) == 0 {
-		q.grants.start(now)
+		q.grants.start(now, e.ServiceTime)
 	}
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.push(e, 0)
 	r := q.rank(e.Rank)
 	r.turns.MoveToFront(q.items[e.ID].organisation.turn)
-	q.grants.window.Add(now, -1)
+	q.takeBack(now, r, e.ID)
+}
+
+// takeBack undoes a grant that granted has counted.
+func (q *Queue[T]) takeBack(now time.Duration, from *rank[T], id uint64) {
+	q.grants.add(now, -1)
 	for i, p := range q.payments {
-		if p.id == e.ID {
-			r.credit = min(r.credit+p.paid, maxCredit)
-			q.payments[i] = payment{}
+		if p.id != id {
+			continue
+		}
+		q.payments[i] = payment{}
+		shares := q.shares(now)
+		from.credit += p.paid
+		for n, r := range q.ranks {
+			r.credit = min(max(r.credit-minShare*shares[n], 0), maxCredit)
 		}
+		return
 	}
 }
 
-// Remove removes an entry and reports whether it was queued.
+// Remove removes an entry whose caller gave up, and reports whether it was queued.
 func (q *Queue[T]) Remove(id uint64) bool {
 	i := q.items[id]
 	if i != nil {
@@ -342,6 +359,9 @@
 			return q.ranks[at]
 		}
 	}
+	if len(q.ranks) == maxRanks {
+		return q.ranks[maxRanks-1]
+	}
 	r := newRank[T](number)
 	q.ranks = append(q.ranks, nil)
 	copy(q.ranks[at+1:], q.ranks[at:])
--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/list"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -37,18 +38,40 @@
 	// queuedByLeft counts queued entries by the class of the time that they had left. Its
 	// windows are made when needed.
 	queuedByLeft [leftClasses]*meter.Window
+	// queuedLately counts the entries queued lately.
+	queuedLately decaying
 	// credit is the number of grants that the rank is owed.
-	credit float64
+	credit  float64
+	sweptAt time.Duration
 }
 
-// organisation holds the waiting entries of an organisation in a rank. It exists only
-// while there are any.
+// organisation holds the waiting entries of an organisation in a rank. It is kept for
+// some time after the last one.
 type organisation[T any] struct {
 	name string
 	// items are sorted by deadline. Insertion moves at most some thousand pointers, which
 	// takes less time than a balanced tree would.
 	items []*item[T]
-	turn  *list.Element
+	// turn is nil while nothing waits.
+	turn         *list.Element
+	queuedLately decaying
+}
+
+// decaying is a count of events that decays with the time constant arrivalSpan.
+type decaying struct {
+	n  float64
+	at time.Duration
+}
+
+// add counts an event.
+func (d *decaying) add(now time.Duration) {
+	d.n = d.rate(now)*arrivalSpan.Seconds() + 1
+	d.at = now
+}
+
+// rate returns the number of events a second.
+func (d *decaying) rate(now time.Duration) float64 {
+	return d.n * math.Exp(-float64(now-d.at)/float64(arrivalSpan)) / arrivalSpan.Seconds()
 }
 
 func newRank[T any](number int) *rank[T] {
@@ -61,23 +84,24 @@
 	}
 }
 
-// organisation returns the state of an organisation, which it creates, with the last
-// turn, if there is none.
+// organisation returns the state of an organisation, which it creates if there is none.
 func (r *rank[T]) organisation(name string) *organisation[T] {
 	o := r.organisations[name]
 	if o == nil {
 		o = &organisation[T]{
 			name: name,
 		}
-		o.turn = r.turns.PushBack(o)
 		r.organisations[name] = o
 	}
 	return o
 }
 
-// add inserts an item by deadline.
+// add inserts an item by deadline. An organisation without others gets the last turn.
 func (r *rank[T]) add(i *item[T]) {
 	o := i.organisation
+	if o.turn == nil {
+		o.turn = r.turns.PushBack(o)
+	}
 	at, _ := slices.BinarySearchFunc(o.items, i, byDeadline)
 	o.items = slices.Insert(o.items, at, i)
 	n := len(o.items)
@@ -88,7 +112,7 @@
 	r.waiting++
 }
 
-// remove removes an item, and its organisation if that was the last one.
+// remove removes an item, and its organisation's turn if that was the last one.
 func (r *rank[T]) remove(i *item[T]) {
 	o := i.organisation
 	at, _ := slices.BinarySearchFunc(o.items, i, byDeadline)
@@ -102,7 +126,7 @@
 	r.waiting--
 	if len(o.items) == 0 {
 		r.turns.Remove(o.turn)
-		delete(r.organisations, o.name)
+		o.turn = nil
 	}
 }
 
@@ -143,45 +167,75 @@
 
 // before returns how many entries of the rank are served before one of the organisation
 // with the deadline: those of its organisation that are due earlier, and one more of each
-// other organisation, as far as they have as many.
-func (r *rank[T]) before(name string, deadline time.Duration) int {
-	o := r.organisations[name]
-	own, length := 0, 0
-	if o != nil {
+// other organisation, as far as they have as many. It also returns how many more would be
+// if all organisations of late had as many.
+func (r *rank[T]) before(name string, deadline time.Duration) (n, room int) {
+	length := 0
+	if o := r.organisations[name]; o != nil {
 		length = len(o.items)
-		own, _ = slices.BinarySearchFunc(o.items, deadline, func(i *item[T], d time.Duration) int {
+		n, _ = slices.BinarySearchFunc(o.items, deadline, func(i *item[T], d time.Duration) int {
 			if i.entry.Deadline <= d {
 				return -1
 			}
 			return 1
 		})
 	}
-	if length == r.waiting {
-		return own
+	own := n
+	if length < r.waiting {
+		n -= min(length, own+1)
+		for _, organisations := range r.lengths[:min(own+1, len(r.lengths))] {
+			n += organisations
+		}
 	}
-	n := own - min(length, own+1)
-	for _, organisations := range r.lengths[:min(own+1, len(r.lengths))] {
-		n += organisations
+	others := len(r.organisations)
+	if r.organisations[name] != nil {
+		others--
 	}
-	return n
+	return n, others*(own+1) - (n - own)
 }
 
-// queued counts an entry that was queued with a time left.
-func (r *rank[T]) queued(now, left time.Duration) {
+// queued counts an entry that is queued with a time left.
+func (r *rank[T]) queued(now, left time.Duration, name string) {
 	class := leftClass(left)
 	if r.queuedByLeft[class] == nil {
 		r.queuedByLeft[class] = meter.NewWindow(arrivalSpan)
 	}
 	r.queuedByLeft[class].Add(now, 1)
+	r.queuedLately.add(now)
+	r.organisation(name).queuedLately.add(now)
+	r.sweep(now)
+}
+
+// sweep removes organisations that have queued nothing lately. It looks at them once per
+// arrivalSpan.
+func (r *rank[T]) sweep(now time.Duration) {
+	if now-r.sweptAt < arrivalSpan {
+		return
+	}
+	r.sweptAt = now
+	for name, o := range r.organisations {
+		if len(o.items) == 0 && now-o.queuedLately.at >= arrivalSpan {
+			delete(r.organisations, name)
+		}
+	}
+}
+
+// othersRate returns the rate at which other organisations have queued entries lately.
+func (r *rank[T]) othersRate(now time.Duration, name string) float64 {
+	rate := r.queuedLately.rate(now)
+	if o := r.organisations[name]; o != nil {
+		rate -= o.queuedLately.rate(now)
+	}
+	return max(rate, 0)
 }
 
 // overtaking returns the rate at which entries have been queued lately that go before
-// one of the organisation with a time left although they come later. Only those of its
-// own organisation do, of which the rank doesn't count the rate; it is estimated from
-// the organisation's part of the waiting entries.
+// one of the same organisation with a time left although they come later. The rank
+// doesn't count them by organisation; the rate follows from the organisation's part of
+// the waiting entries.
 func (r *rank[T]) overtaking(now time.Duration, name string, left time.Duration) float64 {
 	o := r.organisations[name]
-	if o == nil {
+	if o == nil || len(o.items) == 0 {
 		return 0
 	}
 	n := 0.0
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"dandelionmux/pkg/meter"
@@ -28,7 +29,7 @@
 	promised [returnSlots][returnRanks]uint16
 	// oldest is the first slot that is not past.
 	oldest int64
-	// recent counts the promises made lately, by rank.
+	// recent counts the promises made in the last latestSpan, by rank.
 	recent [returnRanks]*meter.Window
 }
 
@@ -36,7 +37,7 @@
 func NewReturns() *Returns {
 	r := &Returns{}
 	for i := range r.recent {
-		r.recent[i] = meter.NewWindow(arrivalSpan)
+		r.recent[i] = meter.NewWindow(latestSpan)
 	}
 	return r
 }
@@ -80,40 +81,44 @@
 	for _, w := range r.recent[:rank] {
 		n += w.Sum(now)
 	}
-	return n / arrivalSpan.Seconds()
+	return n / latestSpan.Seconds()
 }
 
 // find returns the first time from start to end at which a return of the rank has room.
 // Room is left for more urgent ranks at their rate. Promises to less urgent ranks are
 // passed over if overbook is set.
 func (r *Returns) find(start, end time.Duration, rank int, perSecond, urgentRate float64, overbook bool) (time.Duration, bool) {
-	perSlot := perSecond * returnSlot.Seconds()
 	// A rank keeps its minimum share also while more urgent ranks take all capacity.
-	reserved := min(urgentRate*returnSlot.Seconds(), (1-minShare)*perSlot)
-	room := 0.0
-	first := int64(start / returnSlot)
+	own := max(perSecond-urgentRate, minShare*perSecond)
+	first := int64((start + returnSlot - 1) / returnSlot)
 	last := min(int64(end/returnSlot), r.oldest+returnSlots-1)
 	for n := first; n <= last; n++ {
 		urgent, others := r.at(n, rank, overbook)
-		room = min(room, max(perSlot, 1)) + perSlot - max(reserved, urgent) - others
-		if room >= 1 {
-			used := min((urgent+others+0.5)/max(perSlot, 1), 1)
-			at := time.Duration(n)*returnSlot + time.Duration(used*float64(returnSlot))
-			return max(at, start), true
+		room := served(n, perSecond)
+		if others < served(n, own) && urgent+others < room {
+			part := (float64(urgent+others) + 0.5) / float64(room)
+			return time.Duration((float64(n) + part) * float64(returnSlot)), true
 		}
 	}
 	return 0, false
 }
 
+// served returns how many requests are served in a slot at a rate. The sum over slots
+// follows the rate, also if that is below one for each slot.
+func served(slot int64, perSecond float64) int {
+	perSlot := perSecond * returnSlot.Seconds()
+	return int(math.Floor(float64(slot+1)*perSlot) - math.Floor(float64(slot)*perSlot))
+}
+
 // at returns the returns promised for a slot: of more urgent ranks, and of all others or,
 // if overbook is set, of the rank itself.
-func (r *Returns) at(slot int64, rank int, overbook bool) (urgent, others float64) {
+func (r *Returns) at(slot int64, rank int, overbook bool) (urgent, others int) {
 	for i, n := range r.promised[slot%returnSlots] {
 		switch {
 		case i < rank:
-			urgent += float64(n)
+			urgent += int(n)
 		case i == rank || !overbook:
-			others += float64(n)
+			others += int(n)
 		}
 	}
 	return urgent, others
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// grantSpan is the time over which grants are counted, and minGrantSpan the shortest
-	// time from which a rate follows.
-	grantSpan    = 2 * time.Second
-	minGrantSpan = 500 * time.Millisecond
+	// Grants are counted over the last minGrantSpan or, if that is longer, the time in
+	// which each slot becomes free grantRounds times. A rate follows from the first
+	// minGrantRounds, but not before minRateSpan: slots that were taken together become
+	// free together, so a shorter count would vary with their phase.
+	minGrantSpan   = 2 * time.Second
+	grantRounds    = 4
+	minRateSpan    = 500 * time.Millisecond
+	minGrantRounds = 2
 	// maxWait stands for a wait without end.
 	maxWait = time.Hour
 	// minServiceTime keeps rates finite.
@@ -21,65 +25,72 @@
 // grantRate measures how fast slots become free while requests wait.
 type grantRate struct {
 	window *meter.Window
+	span   time.Duration
 	// active is set while requests wait, and also after all of them were refused or
-	// withdrawn, until a slot is seen free or grantSpan has passed: otherwise a queue
+	// withdrawn, until a slot is seen free or the span has passed: otherwise a queue
 	// that was emptied by refusals would trust the nominal capacity again.
 	active bool
 	since  time.Duration
-	// last is when the rate was last used.
+	// last is when the rate was last used while requests waited.
 	last time.Duration
 }
 
 // start begins a measurement unless one goes on.
-func (g *grantRate) start(now time.Duration) {
-	if g.active && now-g.last < grantSpan {
+func (g *grantRate) start(now, serviceTime time.Duration) {
+	if g.active && now-g.last < g.span {
 		return
 	}
 	g.active = true
 	g.since = now
 	g.last = now
-	g.window = meter.NewWindow(grantSpan)
+	g.span = max(minGrantSpan, grantRounds*serviceTime)
+	g.window = meter.NewWindow(g.span)
 }
 
 // stop ends the measurement: a slot is free for requests that don't wait.
 func (g *grantRate) stop() { g.active = false }
 
+// add counts grants.
+func (g *grantRate) add(now time.Duration, n float64) {
+	if g.active {
+		g.window.Add(now, n)
+	}
+}
+
 // correct returns the rate, or what the grants seen lately allow if that is lower. One
 // standard deviation of the count is allowed for.
-func (g *grantRate) correct(now time.Duration, rate float64, waiting bool) float64 {
-	if !g.active || now-g.since < minGrantSpan || now-g.last >= grantSpan {
+func (g *grantRate) correct(now time.Duration, rate float64, serviceTime time.Duration, waiting bool) float64 {
+	if !g.active || now-g.since < max(minRateSpan, minGrantRounds*serviceTime) || now-g.last >= g.span {
 		return rate
 	}
 	if waiting {
 		g.last = now
 	}
 	n := max(g.window.Sum(now), 0)
-	return min(rate, (n+math.Sqrt(n)+1)/min(now-g.since, grantSpan).Seconds())
+	return min(rate, (n+math.Sqrt(n)+1)/min(now-g.since, g.span).Seconds())
 }
 
 // slotRate returns the rate at which slots become free.
 func (q *Queue[T]) slotRate(now time.Duration, c Capacity) float64 {
 	rate := float64(max(c.Slots, 0)) / max(c.ServiceTime, minServiceTime).Seconds()
-	return q.grants.correct(now, rate, len(q.items) > 0)
+	return q.grants.correct(now, rate, c.ServiceTime, len(q.items) > 0)
 }
 
-// shares returns the share of each rank in the arrivals.
+// shares returns the share of each rank in the arrivals. The slice is reused by the next
+// call.
 func (q *Queue[T]) shares(now time.Duration) []float64 {
-	shares := make([]float64, len(q.ranks))
+	q.shareScratch, q.latestScratch = q.shareScratch[:0], q.latestScratch[:0]
 	all, latest := 0.0, 0.0
 	for _, r := range q.ranks {
-		all += r.arrivals.Sum(now)
-		latest += r.latest.Sum(now)
+		q.shareScratch = append(q.shareScratch, r.arrivals.Sum(now))
+		q.latestScratch = append(q.latestScratch, r.latest.Sum(now))
+		all += q.shareScratch[len(q.shareScratch)-1]
+		latest += q.latestScratch[len(q.latestScratch)-1]
 	}
-	for i, r := range q.ranks {
-		if all > 0 {
-			shares[i] = r.arrivals.Sum(now) / all
-		}
-		if latest > 0 {
-			shares[i] = max(shares[i], r.latest.Sum(now)/latest)
-		}
+	for i := range q.shareScratch {
+		q.shareScratch[i] = max(q.shareScratch[i]/max(all, 1), q.latestScratch[i]/max(latest, 1))
 	}
-	return shares
+	return q.shareScratch
 }
 
 // outlook is what a rank may expect.
@@ -92,6 +103,8 @@
 	rate float64
 	// certain is the rate if no more urgent request arrives.
 	certain float64
+	// slotRate is the rate of slots for all ranks.
+	slotRate float64
 	// floor is the rate of the rank's minimum share, and credit what it is owed already.
 	floor  float64
 	credit float64
@@ -100,7 +113,8 @@
 // outlook returns what a rank may expect if slots become free at a rate.
 func (q *Queue[T]) outlook(now time.Duration, r *rank[T], slotRate float64) outlook {
 	o := outlook{
-		credit: r.credit,
+		slotRate: slotRate,
+		credit:   r.credit,
 	}
 	reserved, arriving := 0.0, 0.0
 	shares := q.shares(now)
@@ -121,12 +135,12 @@
 	return o
 }
 
-// wait returns the expected wait of an entry of the rank with a number of entries of its
-// rank before it, if slots remain for the rank at a rate. Half an interval passes on
-// average until the first slot is free.
-func (o outlook) wait(before int, rate float64) time.Duration {
-	ordered := (float64(o.urgent+before) + 0.5) / rate
-	owed := max(float64(before)+1-o.credit, 0.5) / o.floor
+// wait returns the expected wait of an entry with a number of entries of its rank before
+// it, if they are served at a rate in the order.
+func (o outlook) wait(before, rate float64) time.Duration {
+	// Half an interval passes on average until the first slot is free.
+	ordered := (float64(o.urgent) + before + 0.5) / rate
+	owed := max((before+1-o.credit)/o.floor, 0.5/o.slotRate)
 	seconds := min(ordered, owed)
 	if !(seconds < maxWait.Seconds()) { // also without any rate
 		return maxWait
@@ -142,7 +156,14 @@
 	// Entries with much time left keep a part of the slots, as ranks do: they are served
 	// when they are as close to their deadlines as those that overtake them.
 	rate := max(o.rate-r.overtaking(now, e.Organisation, e.Deadline-now), minShare*o.rate)
-	return o.wait(r.before(e.Organisation, e.Deadline), rate)
+	before, room := r.before(e.Organisation, e.Deadline)
+	// Later entries of other organisations go before it until each of these has had as
+	// many turns.
+	wait := o.wait(float64(before+room), rate)
+	if rest := rate - r.othersRate(now, e.Organisation); rest > 0 {
+		wait = min(wait, o.wait(float64(before), rest))
+	}
+	return wait
 }
 
 // Expire removes and returns the entries that can no longer be served, given what is
@@ -150,9 +171,10 @@
 // times a second, and when the capacity shrinks. RetryAfter schedules their return.
 func (q *Queue[T]) Expire(now time.Duration, c Capacity) []Entry[T] {
 	rate := q.slotRate(now, c)
-	if len(q.items) <= fullScanLength || now-q.scannedAt >= scanInterval || rate < 0.9*q.scannedSlots {
+	q.scannedRate = max(q.scannedRate, rate)
+	if len(q.items) <= fullScanLength || now-q.scannedAt >= scanInterval || rate < shrunkPart*q.scannedRate {
 		q.scannedAt = now
-		q.scannedSlots = rate
+		q.scannedRate = rate
 		kept := 0
 		for _, r := range q.ranks {
 			o := q.outlook(now, r, rate)
@@ -183,7 +205,7 @@
 	for len(turns) > 0 {
 		left := turns[:0]
 		for _, t := range turns {
-			start := now + o.wait(kept, o.certain)
+			start := now + o.wait(float64(kept), o.certain)
 			for len(t.items) > 0 && start+serviceTime(t.items[0].entry, c) > t.items[0].entry.Deadline {
 				hopeless = append(hopeless, t.items[0])
 				t.items = t.items[1:]
