--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -16,6 +16,8 @@
 	grantRounds    = 4
 	minRateSpan    = 500 * time.Millisecond
 	minGrantRounds = 2
+	// minFloor keeps the time until a minimum share is due defined, in grants a second.
+	minFloor = 1e-6
 	// maxWait stands for a wait without end.
 	maxWait = time.Hour
 	// minServiceTime keeps rates finite.
@@ -140,7 +142,7 @@
 func (o outlook) wait(before, rate float64) time.Duration {
 	// Half an interval passes on average until the first slot is free.
 	ordered := (float64(o.urgent) + before + 0.5) / rate
-	owed := max((before+1-o.credit)/o.floor, 0.5/o.slotRate)
+	owed := max((before+1-o.credit)/max(o.floor, minFloor), 0.5/o.slotRate)
 	seconds := min(ordered, owed)
 	if !(seconds < maxWait.Seconds()) { // also without any rate
 		return maxWait
