Keep the load of other zones with its age

Cause: an allocator knows other zones only from reports that are up to a second old, and sends requests there in between.

Change: zoneload.Table counts what was sent since a report, discounts late reports, and pauses zones that decline.

--- a/pkg/zoneload/zoneload.go
+++ b/pkg/zoneload/zoneload.go
@@ -1,40 +1,242 @@
-// Package zoneload holds what an allocator knows of the load of its services in other zones.
 package zoneload
 
-import "time"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
 
-// Report is the state of a service in a zone, as seen by its allocator.
-type Report struct {
-	Service     string
-	Zone        string
-	Targets     int
-	Slots       int
-	InUse       int
-	Waiting     int
-	ServiceTime time.Duration
-}
+const (
+	// Unheard is the age of a report that was never received.
+	Unheard = time.Duration(math.MaxInt64)
+
+	// transit is by how much a report may be late without being discounted.
+	transit = 50 * time.Millisecond
+	// silentAfter is the age at which a report says nothing any more: three calm intervals,
+	// so that two lost messages don't count as silence.
+	silentAfter = 3 * calmInterval
+	// probeInterval is the time between requests to a zone of which nothing is known.
+	probeInterval = 250 * time.Millisecond
+	// declinedPause is how long a zone gets nothing after it declined, unless it reports.
+	declinedPause = 250 * time.Millisecond
+	// unansweredPause is how long a zone gets nothing after it declined twice in a row.
+	unansweredPause = time.Second
+)
 
 // State is a Report with its age and what may still be sent to the zone.
 type State struct {
 	Report
-	Age  time.Duration
+	// Age is the time since the report was received, or Unheard.
+	Age time.Duration
+	// Free is what may still be sent to the zone.
 	Free int
 }
 
 // Table holds the reports of other zones. It is not safe for concurrent use.
-type Table struct{}
+type Table struct {
+	zone    string
+	trips   *RoundTrips
+	records map[key]*record
+	swept   time.Duration
+}
+
+type key struct {
+	service string
+	zone    string
+}
 
 // New returns an empty table of an allocator in a zone.
-func New(string) *Table { return &Table{} }
+func New(zone string, options ...Option) *Table {
+	t := &Table{
+		zone:    zone,
+		trips:   NewRoundTrips(),
+		records: make(map[key]*record),
+	}
+	for _, o := range options {
+		o(t)
+	}
+	return t
+}
 
-// Receive records a report.
-func (t *Table) Receive(time.Duration, Report) {}
+// Receive records a report. It replaces the one before.
+func (t *Table) Receive(now time.Duration, r Report) {
+	if r.Zone == t.zone {
+		return
+	}
+	t.record(now, r.Service, r.Zone).receive(now, r, t.trips.Estimate(now, r.Zone))
+}
 
 // Sent records that one request was sent to a zone.
-func (t *Table) Sent(_ time.Duration, _, _ string) {}
+func (t *Table) Sent(now time.Duration, service, zone string) {
+	t.record(now, service, zone).send(now)
+}
+
+// Declined records that a zone had no capacity after all, or did not answer in time.
+func (t *Table) Declined(now time.Duration, service, zone string) {
+	t.record(now, service, zone).decline(now)
+}
+
+// Accepted records that a zone granted a slot. It is optional: without it, two declined requests
+// count as in a row unless others were sent between them.
+func (t *Table) Accepted(now time.Duration, service, zone string) {
+	t.record(now, service, zone).declines = 0
+}
+
+// Zones returns the state of a service in the known zones except the table's own, in their order.
+func (t *Table) Zones(now time.Duration, service string, known []string) []State {
+	states := make([]State, 0, len(known))
+	for _, zone := range known {
+		if zone == t.zone {
+			continue
+		}
+		states = append(states, t.state(now, service, zone))
+	}
+	return states
+}
+
+func (t *Table) state(now time.Duration, service, zone string) State {
+	r, ok := t.records[key{service: service, zone: zone}]
+	if !ok {
+		r = &record{}
+	}
+	s := State{
+		Report: r.report,
+		Age:    r.age(now),
+		Free:   r.free(now, t.trips.Estimate(now, zone)),
+	}
+	s.Service, s.Zone = service, zone
+	return s
+}
+
+// Retain forgets the services and zones for which isKnown is false.
+func (t *Table) Retain(isKnown func(service, zone string) bool) {
+	maps.DeleteFunc(t.records, func(k key, _ *record) bool { return !isKnown(k.service, k.zone) })
+}
 
-// Declined records that a zone had no capacity after all.
-func (t *Table) Declined(_ time.Duration, _, _ string) {}
+// record returns the record of a service in a zone, and drops those that were not used for
+// forgottenAfter, at most once in that time.
+func (t *Table) record(now time.Duration, service, zone string) *record {
+	if now-t.swept >= forgottenAfter {
+		t.swept = now
+		maps.DeleteFunc(t.records, func(_ key, r *record) bool { return now-r.used >= forgottenAfter })
+	}
+	k := key{service: service, zone: zone}
+	r, ok := t.records[k]
+	if !ok {
+		r = &record{}
+		t.records[k] = r
+	}
+	r.used = now
+	return r
+}
+
+// record is what is known of a service in one zone.
+type record struct {
+	report   Report
+	heard    bool
+	received time.Duration
+	used     time.Duration
+	// sent holds when the requests were sent that the report doesn't include, oldest first.
+	sent []time.Duration
+	// lastSent is when the last request was sent; wasSent says that there is one.
+	lastSent time.Duration
+	wasSent  bool
+	// sinceDecline counts the requests sent since the last one was declined.
+	sinceDecline int
+	declines     int
+	// declinedUntil ends with the next report, pausedUntil doesn't.
+	declinedUntil time.Duration
+	pausedUntil   time.Duration
+}
+
+// receive records a report. A request that was sent less than a round trip ago had not arrived when
+// the report was sent.
+func (r *record) receive(now time.Duration, report Report, roundTrip time.Duration) {
+	r.report = report
+	r.heard = true
+	r.received = now
+	r.declinedUntil = now
+	r.sent = slices.DeleteFunc(r.sent, func(at time.Duration) bool { return now-at >= roundTrip })
+}
+
+// send records a request. No more are kept than the zone has slots: that many leave none free.
+func (r *record) send(now time.Duration) {
+	r.lastSent = now
+	r.wasSent = true
+	r.sinceDecline++
+	r.sent = append(r.sent, now)
+	if extra := len(r.sent) - max(1, r.report.Slots); extra > 0 {
+		r.sent = slices.Delete(r.sent, 0, extra)
+	}
+}
+
+// decline records a declined request. It is one in a row unless others were sent since the last.
+func (r *record) decline(now time.Duration) {
+	if r.sinceDecline > 1 {
+		r.declines = 0
+	}
+	r.sinceDecline = 0
+	r.declines++
+	if n := len(r.sent); n > 0 {
+		r.sent = r.sent[:n-1]
+	}
+	r.declinedUntil = now + declinedPause
+	if r.declines > 1 {
+		r.pausedUntil = now + unansweredPause
+	}
+}
 
-// Zones returns the state of a service in the known zones.
-func (t *Table) Zones(time.Duration, string, []string) []State { return nil }
+func (r *record) age(now time.Duration) time.Duration {
+	if !r.heard {
+		return Unheard
+	}
+	return now - r.received
+}
+
+// free returns how many requests may still be sent to the zone.
+func (r *record) free(now, roundTrip time.Duration) int {
+	if now < r.pausedUntil || now < r.declinedUntil {
+		return 0
+	}
+	spare := r.report.Spare() - r.pending(now, roundTrip)
+	if n := int(float64(spare) * r.discount(now)); n > 0 {
+		return n
+	}
+	if spare > 0 || r.age(now) >= silentAfter {
+		return r.probe(now)
+	}
+	return 0
+}
+
+// pending counts the requests that the report doesn't include and that have not ended yet if they
+// take the mean time. Without the latter, a zone that reports every second would get no more
+// requests in that second than it has free slots, however short they are.
+func (r *record) pending(now, roundTrip time.Duration) int {
+	count := 0
+	for _, at := range r.sent {
+		if r.report.ServiceTime <= 0 || now-at < r.report.ServiceTime+roundTrip {
+			count++
+		}
+	}
+	return count
+}
+
+// discount returns the part of the report's free slots that counts: all until the next report is
+// overdue, and half as much after each further interval.
+func (r *record) discount(now time.Duration) float64 {
+	interval := r.report.interval()
+	overdue := r.age(now) - interval - transit
+	if overdue <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(overdue) / float64(interval))
+}
+
+// probe returns 1 if no request was sent to the zone for probeInterval, and else 0.
+func (r *record) probe(now time.Duration) int {
+	if r.wasSent && now-r.lastSent < probeInterval {
+		return 0
+	}
+	return 1
+}
