Count what is still in another zone, and declines that follow each other

Cause: what had ended since a report still counted against the zone's free slots, so that it got many requests after one report and few after the next. Requests in flight together that were declined paused the zone for a second.

Change: the table keeps when requests were sent, and takes them as ended after the mean time and the round trip. Of requests in flight together, the first declined counts.

--- a/pkg/zoneload/zoneload.go
+++ b/pkg/zoneload/zoneload.go
@@ -19,7 +19,10 @@
 	// probeInterval is the time between requests to a zone of which nothing is known.
 	probeInterval = 250 * time.Millisecond
 	// declinedPause is how long a zone gets nothing after it declined, unless it reports.
-	declinedPause = 250 * time.Millisecond
+	declinedPause = 100 * time.Millisecond
+	// answerLimit is the time after the round trip in which a request was declined or counted as
+	// unanswered, which takes 25 ms and the way to the allocator.
+	answerLimit = 50 * time.Millisecond
 	// unansweredPause is how long a zone gets nothing after it declined twice in a row.
 	unansweredPause = time.Second
 )
@@ -74,11 +77,11 @@
 
 // Declined records that a zone had no capacity after all, or did not answer in time.
 func (t *Table) Declined(now time.Duration, service, zone string) {
-	t.record(now, service, zone).decline(now)
+	t.record(now, service, zone).decline(now, t.trips.Estimate(now, zone))
 }
 
-// Accepted records that a zone granted a slot. It is optional: without it, two declined requests
-// count as in a row unless others were sent between them.
+// Accepted records that a zone granted a slot. It is optional: a request counts as accepted that was
+// neither declined nor unanswered after its round trip.
 func (t *Table) Accepted(now time.Duration, service, zone string) {
 	t.record(now, service, zone).declines = 0
 }
@@ -114,6 +117,11 @@
 	maps.DeleteFunc(t.records, func(k key, _ *record) bool { return !isKnown(k.service, k.zone) })
 }
 
+// Len returns the number of services in zones that the table knows.
+func (t *Table) Len() int {
+	return len(t.records)
+}
+
 // record returns the record of a service in a zone, and drops those that were not used for
 // forgottenAfter, at most once in that time.
 func (t *Table) record(now time.Duration, service, zone string) *record {
@@ -137,19 +145,31 @@
 	heard    bool
 	received time.Duration
 	used     time.Duration
-	// sent holds when the requests were sent that the report doesn't include, oldest first.
+	// sent holds when the requests were sent that may still be there, oldest first.
 	sent []time.Duration
+	// included counts those of them that the report includes in its slots in use.
+	included int
 	// lastSent is when the last request was sent; wasSent says that there is one.
 	lastSent time.Duration
 	wasSent  bool
-	// sinceDecline counts the requests sent since the last one was declined.
-	sinceDecline int
-	declines     int
+	// burst is what was sent since the zone last declined.
+	burst burst
+	// declines counts the bursts in a row of which nothing was accepted.
+	declines int
 	// declinedUntil ends with the next report, pausedUntil doesn't.
 	declinedUntil time.Duration
 	pausedUntil   time.Duration
 }
 
+// burst counts the requests that were sent after the zone declined, and the declined among them. They
+// end with the first that is sent after one was declined: those that were in flight together are one
+// finding about the zone.
+type burst struct {
+	begun    time.Duration
+	sent     int
+	declined int
+}
+
 // receive records a report. A request that was sent less than a round trip ago had not arrived when
 // the report was sent.
 func (r *record) receive(now time.Duration, report Report, roundTrip time.Duration) {
@@ -157,27 +177,55 @@
 	r.heard = true
 	r.received = now
 	r.declinedUntil = now
-	r.sent = slices.DeleteFunc(r.sent, func(at time.Duration) bool { return now-at >= roundTrip })
+	r.included = 0
+	end := r.stay(roundTrip)
+	r.sent = slices.DeleteFunc(r.sent, func(at time.Duration) bool { return now-at >= end })
+	for _, at := range r.sent {
+		if now-at >= roundTrip {
+			r.included++
+		}
+	}
+}
+
+// stay returns how long a request counts that was sent to the zone: until it has ended, if it takes
+// the mean time, or until a report includes it if that time isn't known.
+func (r *record) stay(roundTrip time.Duration) time.Duration {
+	return max(0, r.report.ServiceTime) + roundTrip
 }
 
 // send records a request. No more are kept than the zone has slots: that many leave none free.
 func (r *record) send(now time.Duration) {
+	if r.burst.sent == 0 || r.burst.declined > 0 {
+		r.beginBurst(now)
+	}
+	r.burst.sent++
 	r.lastSent = now
 	r.wasSent = true
-	r.sinceDecline++
 	r.sent = append(r.sent, now)
 	if extra := len(r.sent) - max(1, r.report.Slots); extra > 0 {
 		r.sent = slices.Delete(r.sent, 0, extra)
 	}
 }
 
-// decline records a declined request. It is one in a row unless others were sent since the last.
-func (r *record) decline(now time.Duration) {
-	if r.sinceDecline > 1 {
+func (r *record) beginBurst(now time.Duration) {
+	if r.burst.sent > r.burst.declined {
 		r.declines = 0
 	}
-	r.sinceDecline = 0
-	r.declines++
+	r.burst = burst{
+		begun: now,
+	}
+}
+
+// decline records a declined request. Only the first of a burst counts as one in a row, and only if
+// the burst's first request can't have been accepted.
+func (r *record) decline(now, roundTrip time.Duration) {
+	r.burst.declined++
+	if r.burst.declined == 1 {
+		if now-r.burst.begun > roundTrip+answerLimit {
+			r.declines = 0
+		}
+		r.declines++
+	}
 	if n := len(r.sent); n > 0 {
 		r.sent = r.sent[:n-1]
 	}
@@ -199,8 +247,8 @@
 	if now < r.pausedUntil || now < r.declinedUntil {
 		return 0
 	}
-	spare := r.report.Spare() - r.pending(now, roundTrip)
-	if n := int(float64(spare) * r.discount(now)); n > 0 {
+	spare := r.report.Spare() + r.included - r.pending(now, roundTrip)
+	if n := int(math.Round(float64(spare) * r.discount(now))); n > 0 {
 		return n
 	}
 	if spare > 0 || r.age(now) >= silentAfter {
@@ -209,13 +257,16 @@
 	return 0
 }
 
-// pending counts the requests that the report doesn't include and that have not ended yet if they
-// take the mean time. Without the latter, a zone that reports every second would get no more
-// requests in that second than it has free slots, however short they are.
+// pending counts the requests that were sent to the zone and are still there. Those that the report
+// includes and that have ended since leave a free slot: if only what was sent since the report
+// counted, a zone would get many requests after one report and few after the next.
 func (r *record) pending(now, roundTrip time.Duration) int {
+	if r.report.ServiceTime <= 0 {
+		return len(r.sent)
+	}
 	count := 0
 	for _, at := range r.sent {
-		if r.report.ServiceTime <= 0 || now-at < r.report.ServiceTime+roundTrip {
+		if now-at < r.stay(roundTrip) {
 			count++
 		}
 	}
