--- /dev/null
+++ b/pkg/spillover/fleet_test.go
@@ -0,0 +1,292 @@
+package spillover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/pkg/zoneload"
+)
+
+// pair returns the connected allocators of a service in two zones.
+func pair(l *loop, slotsA, slotsB int) (a, b *allocator) {
+	a = newAllocator(l, zoneload.New("a"), "search", "a", slotsA)
+	b = newAllocator(l, zoneload.New("b"), "search", "b", slotsB)
+	connect([]*allocator{a, b})
+	return a, b
+}
+
+// during returns what the allocator counts until a time.
+func during(l *loop, a *allocator, end time.Duration) tally {
+	before := a.tally
+	l.runUntil(end)
+	return a.minus(before)
+}
+
+func (t tally) minus(u tally) tally {
+	return tally{
+		arrived:  t.arrived - u.arrived,
+		left:     t.left - u.left,
+		served:   t.served - u.served,
+		late:     t.late - u.late,
+		refused:  t.refused - u.refused,
+		declined: t.declined - u.declined,
+		granted:  t.granted - u.granted,
+		overfull: t.overfull - u.overfull,
+	}
+}
+
+func (t tally) share() float64 {
+	return float64(t.left) / float64(t.arrived)
+}
+
+// The load: one zone has half the targets of the other and twice its demand, together 80% of the slots.
+// Guards against late or refused callers there while the other zone has free slots, and against the
+// other zone's own callers becoming late for them.
+func TestUnequalZones(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 20, 40)
+	a.arrivals(266, 10*time.Second)
+	b.arrivals(133, 10*time.Second)
+	l.runUntil(4 * time.Second)
+	crowded := during(l, a, 10*time.Second)
+	t.Logf("crowded zone from 4 to 10 s %+v, other zone %+v", crowded, b.tally)
+	is.Equal(crowded.late, 0)
+	is.Equal(crowded.refused, 0)
+	is.True(crowded.served > 260*6)
+	is.True(crowded.declined < crowded.left/20)
+	is.Equal(b.left, 0)
+	is.Equal(b.late+b.refused, 0)
+	is.Equal(a.overfull+b.overfull, 0)
+}
+
+// The load: a zone loses four fifths of its targets in steps, and gets them back in steps. Guards
+// against its requests swinging between staying and leaving all at once.
+func TestShareSentChangesMonotonically(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 40, 40)
+	a.arrivals(200, time.Minute)
+	b.arrivals(100, time.Minute)
+	l.runUntil(2 * time.Second)
+	steps := []int{32, 24, 16, 8, 8, 16, 24, 32, 40}
+	var shares []float64
+	for i, slots := range steps {
+		a.slots = slots
+		l.runUntil(l.now + time.Second)
+		for range 2 {
+			shares = append(shares, during(l, a, l.now+time.Second).share())
+		}
+		t.Logf("%d slots: share sent %.2f %.2f", slots, shares[2*i], shares[2*i+1])
+	}
+	const noise = 0.04 // of 200 requests
+	for i := range len(shares) - 1 {
+		if change := shares[i+1] - shares[i]; i < len(shares)/2 {
+			is.True(change >= -noise)
+		} else {
+			is.True(change <= noise)
+		}
+	}
+	is.True(shares[7] > 0.5)
+	is.Equal(shares[len(shares)-1], 0.0)
+	is.Equal(a.overfull+b.overfull, 0)
+}
+
+// The load: a zone loses four fifths of its targets at once and gets them back at once. Guards against
+// requests that still leave although there are free slots at home.
+func TestSpilloverEndsWithFreeSlotsAtHome(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 40, 40)
+	a.arrivals(200, 12*time.Second)
+	b.arrivals(100, 12*time.Second)
+	is.Equal(during(l, a, 3*time.Second).left, 0)
+	a.slots = 8
+	l.runUntil(4 * time.Second)
+	short := during(l, a, 7*time.Second)
+	t.Logf("short of targets %+v", short)
+	is.True(short.share() > 0.5)
+	is.Equal(short.late+short.refused, 0)
+	a.slots = 40
+	for a.inUse >= a.slots || len(a.queue) > 0 {
+		l.runUntil(l.now + time.Millisecond)
+	}
+	t.Logf("free slots at home %v after the targets came back", l.now-7*time.Second)
+	l.runUntil(l.now + time.Second)
+	is.Equal(during(l, a, 12*time.Second).left, 0)
+}
+
+// The load: a zone loses all of its targets. Guards against requests that wait at home for targets
+// that don't exist.
+func TestZoneWithoutTargetsSendsWhatOthersAccept(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 0, 60)
+	a.arrivals(150, 10*time.Second)
+	b.arrivals(150, 10*time.Second)
+	l.runUntil(4 * time.Second)
+	away := during(l, a, 10*time.Second)
+	t.Logf("zone without targets from 4 to 10 s %+v", away)
+	is.True(away.served > away.arrived*95/100)
+	is.Equal(b.late+b.refused, 0)
+}
+
+// The load: two zones with one and a half times the demand that they can serve. Guards against
+// requests that pay for the way to a full zone, and against slots that stay unused meanwhile.
+func TestFullZonesKeepTheirRequests(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 20, 20)
+	a.arrivals(250, 10*time.Second)
+	b.arrivals(250, 10*time.Second)
+	l.runUntil(2 * time.Second)
+	full := during(l, a, 10*time.Second)
+	t.Logf("from 2 to 10 s %+v", full)
+	is.True(full.left <= 8)
+	is.True(full.served+full.refused > 166*8*95/100)
+	is.True(a.inUse == 20 && b.inUse == 20)
+}
+
+// The load: a crowded zone's last report of the other is old, and the other is full by now. Guards
+// against requests that are sent in vain by what an old report says.
+func TestStaleReportsDontFloodAFullZone(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 20, 40)
+	a.arrivals(250, 20*time.Second)
+	l.runUntil(3 * time.Second)
+	l.muted = true
+	b.arrivals(400, 20*time.Second)
+	l.runUntil(5 * time.Second)
+	stale := during(l, a, 15*time.Second)
+	t.Logf("reports from 2 to 12 s old %+v", stale)
+	is.True(stale.declined <= 10*4)
+	is.Equal(a.overfull+b.overfull, 0)
+}
+
+// The load: the link between a crowded zone and the other breaks for 4 s. Guards against requests that
+// lose time on the way to a zone that doesn't answer, and against a partition's effect outlasting it.
+func TestPartitionLeavesEachSideWithItsTargets(t *testing.T) {
+	is := is.New(t)
+	l := newLoop(120 * time.Millisecond)
+	a, b := pair(l, 20, 40)
+	a.arrivals(250, 20*time.Second)
+	b.arrivals(125, 20*time.Second)
+	l.runUntil(4 * time.Second)
+	before := during(l, a, 6*time.Second)
+	l.parted = true
+	l.runUntil(7 * time.Second)
+	parted := during(l, a, 10*time.Second)
+	l.parted = false
+	l.runUntil(12 * time.Second)
+	after := during(l, a, 14*time.Second)
+	t.Logf("before %+v, parted %+v, after %+v", before, parted, after)
+	is.True(parted.left <= 3*4)
+	is.True(parted.served+parted.refused > 166*3*95/100)
+	is.True(before.share() > 0.25)
+	is.True(after.share() > before.share()-0.05)
+	is.Equal(b.late+b.refused, 0)
+}
+
+// The load: 300 services of 19 targets in 6 zones of 90 instances, with equal demand but unequal
+// targets in the zones. Guards against allocators that together send a zone more than it has free, and
+// against free slots that nobody uses.
+func TestFleetUsesItsSlots(t *testing.T) {
+	tests := []struct {
+		name  string
+		slots int // of a target
+		load  float64
+		// least is the least part of what the slots allow that is served, measured less 2%.
+		least float64
+	}{
+		{
+			name:  "four slots a target, demand for 90% of the slots",
+			slots: 4,
+			load:  0.9,
+			least: 0.95,
+		},
+		{
+			name:  "four slots a target, demand for 110% of the slots",
+			slots: 4,
+			load:  1.1,
+			least: 0.93,
+		},
+		{
+			name:  "two slots a target, demand for 110% of the slots",
+			slots: 2,
+			load:  1.1,
+			least: 0.9,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			serviceTime := time.Duration(tt.slots) * 60 * time.Millisecond
+			l := newLoop(serviceTime)
+			list := newFleet(l, tt.slots)
+			perZone := tt.load * 19 / 6 / 0.06
+			for _, a := range list {
+				a.arrivals(perZone, 3*time.Second)
+			}
+			l.runUntil(2 * time.Second)
+			before := sum(list)
+			l.runUntil(3 * time.Second)
+			all := sum(list)
+			allowed := allowedPerSecond(list, perZone)
+			served := float64(all.served-before.served) / allowed
+			t.Logf("served %.3f of %.0f a second; from the beginning %+v", served, allowed, all)
+			is.Equal(all.overfull, 0)
+			is.True(served >= tt.least)
+			is.True(all.declined < all.left*2/5)
+		})
+	}
+}
+
+// newFleet returns the allocators of 300 services in 6 zones. The 90 instances of a zone each allocate
+// three or four services with one table.
+func newFleet(l *loop, slots int) []*allocator {
+	targets := []int{1, 2, 3, 3, 4, 6}
+	tables := make([][]*zoneload.Table, len(targets))
+	for z := range targets {
+		for range 90 {
+			tables[z] = append(tables[z], zoneload.New(fmt.Sprint("zone-", z)))
+		}
+	}
+	var list []*allocator
+	for s := range 300 {
+		var group []*allocator
+		for z, count := range targets {
+			service, zone := fmt.Sprint("service-", s), fmt.Sprint("zone-", z)
+			group = append(group, newAllocator(l, tables[z][s%90], service, zone, slots*count))
+		}
+		connect(group)
+		list = append(list, group...)
+	}
+	return list
+}
+
+func sum(list []*allocator) tally {
+	var total tally
+	for _, a := range list {
+		total = total.minus(tally{}.minus(a.tally))
+	}
+	return total
+}
+
+// allowedPerSecond is how many requests a second the slots allow: the zones' own as far as their
+// slots suffice, and others as far as slots are free beyond the reserves.
+func allowedPerSecond(list []*allocator, perZone float64) float64 {
+	var own, excess, spare float64
+	for _, a := range list {
+		perSlot := 1 / a.serviceTime.Seconds()
+		slots := float64(a.slots) * perSlot
+		own += min(perZone, slots)
+		excess += max(0, perZone-slots)
+		reserve := float64(zoneload.Reserve(a.slots)) * perSlot
+		spare += max(0, slots-reserve-perZone)
+	}
+	return own + min(excess, spare)
+}
