Narrow the limits of the fleet's spillover test

Cause: the limits lay up to five percent below what was served.

Change: they are 0.97, 0.94 and 0.93, against 0.993, 0.963 and 0.954.

--- a/pkg/spillover/fleet_test.go
+++ b/pkg/spillover/fleet_test.go
@@ -199,26 +199,27 @@
 		name  string
 		slots int // of a target
 		load  float64
-		// least is the least part of what the slots allow that is served, measured less 2%.
+		// least is the least part of what the slots allow that is served. When the tests were
+		// written, it was 0.993, 0.963 and 0.954.
 		least float64
 	}{
 		{
 			name:  "four slots a target, demand for 90% of the slots",
 			slots: 4,
 			load:  0.9,
-			least: 0.95,
+			least: 0.97,
 		},
 		{
 			name:  "four slots a target, demand for 110% of the slots",
 			slots: 4,
 			load:  1.1,
-			least: 0.93,
+			least: 0.94,
 		},
 		{
 			name:  "two slots a target, demand for 110% of the slots",
 			slots: 2,
 			load:  1.1,
-			least: 0.9,
+			least: 0.93,
 		},
 	}
 	for _, tt := range tests {
