admission: one verdict for an entry that is offered again

Cause: an instance repeats its slot request after 25 ms, under the same ID. An entry that had been displaced or passed over and was offered again before the next Expire waited again, and Expire still returned it: the request was refused while a copy of it waited and took a slot. An offer without any slots was refused while the entry stayed queued.

Change: Offer drops the lapsed entry, and the queued one if it refuses it.

Result: TestEachEntryLeavesOnce offers entries again.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -105,8 +105,13 @@
 }
 
 // Offer queues an entry, or refuses it if it can't be served within its time. An entry
-// that is less urgent may be displaced by it; the next Expire returns that one.
+// that is less urgent may be displaced by it; the next Expire returns that one. An entry
+// that is offered again while it waits keeps its place.
 func (q *Queue[T]) Offer(now time.Duration, e Entry[T], c Capacity) Verdict {
+	if c.Slots <= 0 || q.items[e.ID] == nil {
+		// The new verdict replaces that of an entry that Expire has yet to return.
+		q.Remove(e.ID)
+	}
 	expected := q.Expect(now, e, c)
 	left := e.Deadline - now
 	switch {
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -225,8 +225,8 @@
 	is.True(first[1] >= 5 && first[1] <= 7) // 0.15 of 40
 }
 
-// Guards against entries that are lost or returned twice, and an organisation's entries out
-// of the order of their deadlines.
+// Guards against entries that are lost or returned twice, also if they are offered again, and
+// an organisation's entries out of the order of their deadlines.
 func TestEachEntryLeavesOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := admission.New[int](admission.WithMaxLength(rapid.IntRange(1, 30).Draw(t, "length")))
@@ -243,16 +243,22 @@
 			c := slots(rapid.IntRange(0, 20).Draw(t, "slots"), 100*time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1, 2:
+				id := id - min(id, uint64(rapid.IntRange(0, 3).Draw(t, "again")))
 				e := admission.Entry[int]{
 					ID:           id,
 					Rank:         rapid.IntRange(0, 3).Draw(t, "rank"),
 					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
 					Deadline:     now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "left"))*time.Millisecond,
 				}
+				if first, ok := inside[id]; ok {
+					e = first
+				}
 				q.Arrived(now, e.Rank)
 				if _, waits := q.Offer(now, e, c).(admission.Waits); waits {
 					inside[id] = e
 					lapsed = true // another one may be displaced
+				} else {
+					delete(inside, id)
 				}
 			case 3:
 				e, ok := q.Next(now)
