admission: measure grants anew after a pause of the process

Cause: a rate of grants that had not been used for its span (2 s or more) was ignored, and its last use was then never updated. After a process stood still for that long, the queue trusted the nominal capacity until no request waited, which under a lasting shortage never happens.

Change: the measurement begins anew at the next use while requests wait.

--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -169,6 +169,32 @@
 	is.Equal(len(q.Expire(start+20*time.Millisecond, slots(4, 200*time.Millisecond))), 0)
 }
 
+// Guards against a rate of grants that is ignored for as long as requests wait after the
+// process stood still: slots become free at 2 a second instead of the nominal 200.
+func TestGrantsCountAgainAfterAPause(t *testing.T) {
+	is := is.New(t)
+	c := slots(40, 200*time.Millisecond)
+	q := admission.New[string]()
+	for n := range 30 {
+		is.True(offerWithLeft(q, uint64(n+1), 0, "a", c, time.Minute))
+	}
+	now := start
+	for _, pause := range []time.Duration{0, 3 * time.Second} {
+		now += pause
+		for range 5 {
+			now += 500 * time.Millisecond
+			_, ok := q.Next(now)
+			is.True(ok)
+			is.Equal(len(q.Expire(now, c)), 0)
+		}
+		expected := q.Expect(now, admission.Entry[string]{
+			Organisation: "a",
+			Deadline:     now + time.Minute,
+		}, c)
+		is.True(expected > 4*time.Second)
+	}
+}
+
 // Guards against a slot that is spent on an entry whose time has passed.
 func TestNextPassesOverLapsedEntries(t *testing.T) {
 	is := is.New(t)
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -62,6 +62,10 @@
 // correct returns the rate, or what the grants seen lately allow if that is lower. One
 // standard deviation of the count is allowed for.
 func (g *grantRate) correct(now time.Duration, rate float64, serviceTime time.Duration, waiting bool) float64 {
+	if g.active && waiting {
+		// Begins anew if the rate was not used for the span, as when the process stood still.
+		g.start(now, serviceTime)
+	}
 	if !g.active || now-g.since < max(minRateSpan, minGrantRounds*serviceTime) || now-g.last >= g.span {
 		return rate
 	}
