--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -195,6 +195,33 @@
 	}
 }
 
+// Guards against the refusal of entries with enough time when requests become slow while others
+// wait: slots then become free 40 at once each 3 s, longer than grants were counted over before.
+func TestGrantsAreCountedForLongEnough(t *testing.T) {
+	is := is.New(t)
+	q := admission.New[string]()
+	for n := range 300 {
+		is.True(offerWithLeft(q, uint64(n+1), 0, "a", slots(40, 200*time.Millisecond), time.Minute))
+	}
+	now := start
+	serve := func(grants, steps int, c admission.Capacity) {
+		for range grants {
+			_, ok := q.Next(now)
+			is.True(ok)
+		}
+		for range steps {
+			now += 100 * time.Millisecond
+			is.Equal(len(q.Expire(now, c)), 0)
+		}
+	}
+	for range 70 {
+		serve(1, 1, slots(40, 200*time.Millisecond))
+	}
+	for range 4 {
+		serve(40, 30, slots(40, 3*time.Second))
+	}
+}
+
 // Guards against a slot that is spent on an entry whose time has passed.
 func TestNextPassesOverLapsedEntries(t *testing.T) {
 	is := is.New(t)
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -37,15 +37,17 @@
 	last time.Duration
 }
 
-// start begins a measurement unless one goes on.
+// start begins a measurement unless one goes on. It begins anew if the service time has grown
+// so much that the span no longer covers half of the rounds.
 func (g *grantRate) start(now, serviceTime time.Duration) {
-	if g.active && now-g.last < g.span {
+	span := max(minGrantSpan, grantRounds*serviceTime)
+	if g.active && now-g.last < g.span && span <= 2*g.span {
 		return
 	}
 	g.active = true
 	g.since = now
 	g.last = now
-	g.span = max(minGrantSpan, grantRounds*serviceTime)
+	g.span = span
 	g.window = meter.NewWindow(g.span)
 }
 
@@ -63,7 +65,8 @@
 // standard deviation of the count is allowed for.
 func (g *grantRate) correct(now time.Duration, rate float64, serviceTime time.Duration, waiting bool) float64 {
 	if g.active && waiting {
-		// Begins anew if the rate was not used for the span, as when the process stood still.
+		// The measurement is also begun anew if it was not used for its span, as when the
+		// process stood still.
 		g.start(now, serviceTime)
 	}
 	if !g.active || now-g.since < max(minRateSpan, minGrantRounds*serviceTime) || now-g.last >= g.span {
