zoneload: no more free slots than a zone has beyond its reserve

Cause: requests that were sent before a report count as included in its slots in use, and as free slots once the mean service time has passed. Those that had ended before the report were no longer among its slots in use, and freed a slot a second time: a zone with 20 slots and 6 in use could get 22 requests.

Change: the free slots are at most the zone's slots less its reserve.

Result: the new case of TestEndedRequestsFreeTheirSlots failed before (22 for 19) and passes.

--- a/pkg/zoneload/zoneload.go
+++ b/pkg/zoneload/zoneload.go
@@ -247,7 +247,10 @@
 	if now < r.pausedUntil || now < r.declinedUntil {
 		return 0
 	}
-	spare := r.report.Spare() + r.included - r.pending(now, roundTrip)
+	// The requests that the report includes may have ended before it: all that have ended together
+	// leave no more slots than the zone has beyond its reserve.
+	most := r.report.Slots - Reserve(r.report.Slots)
+	spare := min(r.report.Spare()+r.included-r.pending(now, roundTrip), most)
 	if n := int(math.Round(float64(spare) * r.discount(now))); n > 0 {
 		return n
 	}
--- a/pkg/zoneload/zoneload_test.go
+++ b/pkg/zoneload/zoneload_test.go
@@ -102,17 +102,39 @@
 }
 
 // Guards against a zone that reports every second getting, in that second, only as many requests as it
-// has free slots, and many at once after the next report.
+// has free slots, and many at once after the next report; and against requests that ended
+// before the report leaving more slots than the zone has.
 func TestEndedRequestsFreeTheirSlots(t *testing.T) {
-	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 10))
-	for range 9 {
-		table.Sent(begin, "search", "b")
+	tests := []struct {
+		name          string
+		inUse         int
+		before, after int // free slots while the nine requests are there, and when they have ended
+	}{
+		{
+			name:  "included in the report",
+			inUse: 19,
+			after: 9,
+		},
+		{
+			name:   "some ended before the report",
+			inUse:  6,
+			before: 13,
+			after:  19,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := zoneload.New("a")
+			table.Receive(begin, report(20, 10))
+			for range 9 {
+				table.Sent(begin, "search", "b")
+			}
+			table.Receive(begin+50*time.Millisecond, report(20, tt.inUse))
+			is.Equal(free(table, begin+100*time.Millisecond), tt.before)
+			is.Equal(free(table, begin+150*time.Millisecond), tt.after)
+		})
 	}
-	table.Receive(begin+50*time.Millisecond, report(20, 19)) // includes the nine
-	is.Equal(free(table, begin+100*time.Millisecond), 0)
-	is.Equal(free(table, begin+150*time.Millisecond), 9)
 }
 
 // Guards against requests that are on their way while a report is counting as neither.
