spillover: tests of unused slots count what is served

Cause: two tests that guard against slots that stay unused added the refused requests to the served ones. With one and a half times the demand the sum exceeds the bound whatever the slots do.

Change: TestFullZonesKeepTheirRequests and TestPartitionLeavesEachSideWithItsTargets compare only the served ones with the same bounds.

--- a/pkg/spillover/fleet_test.go
+++ b/pkg/spillover/fleet_test.go
@@ -146,7 +146,7 @@
 	full := during(l, a, 10*time.Second)
 	t.Logf("from 2 to 10 s %+v", full)
 	is.True(full.left <= 8)
-	is.True(full.served+full.refused > 166*8*95/100)
+	is.True(full.served > 166*8*95/100)
 	is.True(a.inUse == 20 && b.inUse == 20)
 }
 
@@ -185,7 +185,7 @@
 	after := during(l, a, 14*time.Second)
 	t.Logf("before %+v, parted %+v, after %+v", before, parted, after)
 	is.True(parted.left <= 3*4)
-	is.True(parted.served+parted.refused > 166*3*95/100)
+	is.True(parted.served > 166*3*95/100)
 	is.True(before.share() > 0.25)
 	is.True(after.share() > before.share()-0.05)
 	is.Equal(b.late+b.refused, 0)
