--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// Each load lasts a minute or more. The least parts are a little below what is expected.
+// Each load lasts a minute or more, and those beyond the capacity of a few slots so long that the
+// result doesn't depend on the seed. The least parts are a little below what is expected.
 func TestLoads(t *testing.T) {
 	const ms = time.Millisecond
 	tests := []struct {
@@ -236,7 +237,7 @@
 			name: "1 s beside 6 s at two targets",
 			load: load{
 				capacity: slots(4, 222*ms),
-				duration: 2 * time.Minute,
+				duration: 20 * time.Minute,
 				kinds: []kind{
 					{
 						name:      "short",
@@ -250,7 +251,7 @@
 					},
 				},
 			},
-			minServed:  []float64{0.95, 0.58},
+			minServed:  []float64{0.96, 0.58},
 			maxExpired: 0.01,
 		},
 		{
@@ -258,7 +259,7 @@
 			name: "1 s beside 6 s, ten organisations",
 			load: load{
 				capacity: slots(2, 111*ms),
-				duration: 2 * time.Minute,
+				duration: 20 * time.Minute,
 				kinds: []kind{
 					{
 						name:          "short",
@@ -276,7 +277,7 @@
 					},
 				},
 			},
-			minServed:  []float64{0.92, 0.56},
+			minServed:  []float64{0.94, 0.57},
 			maxExpired: 0.01,
 		},
 		{
@@ -285,7 +286,7 @@
 			name: "1 s over capacity beside 6 s",
 			load: load{
 				capacity: slots(2, 111*ms),
-				duration: 2 * time.Minute,
+				duration: 20 * time.Minute,
 				kinds: []kind{
 					{
 						name:      "short",
@@ -299,7 +300,7 @@
 					},
 				},
 			},
-			minServed:  []float64{0.65, 0.2},
+			minServed:  []float64{0.7, 0.22},
 			maxExpired: 0.01,
 		},
 		{
