spillover: plain name for the margin of an answer in the tests

Cause: the constant patience named the time after the round trip in which a zone has to answer by a figure of speech.

Change: it is answerMargin.

Result: the package's tests pass; no behaviour changes.

--- a/pkg/spillover/loop_test.go
+++ b/pkg/spillover/loop_test.go
@@ -13,8 +13,8 @@
 	oneWay     = 3 * time.Millisecond
 	callerTime = 2 * time.Second
 	objective  = 600 * time.Millisecond
-	// patience is added to the round trip before a zone counts as unresponsive.
-	patience = 25 * time.Millisecond
+	// answerMargin is added to the round trip before a zone counts as unresponsive.
+	answerMargin = 25 * time.Millisecond
 )
 
 // loop runs events on virtual time, so that allocators can pass each other messages.
@@ -203,7 +203,7 @@
 			a.wait(deadline)
 		}
 	}
-	a.after(2*oneWay+patience, decline)
+	a.after(2*oneWay+answerMargin, decline)
 	for _, p := range a.peers {
 		if p.zone == zone {
 			a.send(func() { p.grant(deadline, a, func() { answered = true }, decline) })
