admission: earliest deadline first also in a full queue

Cause: a full queue whose entries are all of one organisation refused a caller with 1 s left while others of the organisation with 5 s left stayed, although it would have been served before them.

Change: such an entry displaces the last one of its organisation.

Result: TestFullQueue failed before and passes.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -178,7 +178,8 @@
 
 // displaced returns the organisation that gives up its last entry for another one: that
 // with the most entries in the least urgent rank, if that is less urgent; or in the same
-// rank, if it has more than the other's organisation would have then. A rank that is owed
+// rank, if it has more than the other's organisation would have then; or the other's
+// organisation itself, if its last entry is due later than the other. A rank that is owed
 // a grant and has no entry gets a place from the most urgent rank, so that it keeps its
 // minimum share.
 func (q *Queue[T]) displaced(e Entry[T]) *organisation[T] {
@@ -203,12 +204,16 @@
 		return nil
 	}
 	length := 0
-	if o := own.organisations[e.Organisation]; o != nil {
-		length = len(o.items)
+	same := own.organisations[e.Organisation]
+	if same != nil {
+		length = len(same.items)
 	}
 	if o := own.longest(); len(o.items) > length+1 {
 		return o
 	}
+	if length > 0 && same.items[length-1].entry.Deadline > e.Deadline {
+		return same
+	}
 	return nil
 }
 
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -236,8 +236,8 @@
 	is.Equal(expired[0].ID, uint64(1))
 }
 
-// Guards against a full queue that refuses urgent requests, or those of an organisation
-// without any while another has many.
+// Guards against a full queue that refuses urgent requests, those of an organisation without
+// any while another has many, or those that are due before others of their organisation.
 func TestFullQueue(t *testing.T) {
 	is := is.New(t)
 	c := slots(40, 100*time.Millisecond)
@@ -254,6 +254,9 @@
 	is.Equal(len(displaced), 2)
 	is.Equal(displaced[0].ID, uint64(10))
 	is.Equal(displaced[1].ID, uint64(9))
+	is.True(offerWithLeft(q, 15, 1, "hot", c, time.Second))
+	is.Equal(q.Waiting(), map[int]int{0: 1, 1: 9})
+	is.Equal(q.Expire(start, c)[0].ID, uint64(8))
 }
 
 // Guards against a rank that gains by entries that are dequeued and put back.
