admission: a rank beyond the limit keeps its place in the order

Cause: a queue tells at most 32 ranks apart and never forgets one. A rank that came after 32 others counted as the least urgent, also rank 0.

Change: it counts as the next less urgent rank that is known.

Result: TestRankBeyondTheLimitKeepsItsOrder failed before (the urgent request was refused) and passes.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -31,7 +31,7 @@
 	// is owed.
 	maxPayments = 64
 	// maxRanks bounds the number of ranks that are told apart, against messages with
-	// arbitrary ranks. Entries of further ranks count as of the least urgent one.
+	// arbitrary ranks. Entries of a further rank count as of the next less urgent one.
 	maxRanks = 32
 )
 
@@ -370,7 +370,7 @@
 		}
 	}
 	if len(q.ranks) == maxRanks {
-		return q.ranks[maxRanks-1]
+		return q.ranks[min(at, maxRanks-1)]
 	}
 	r := newRank[T](number)
 	q.ranks = append(q.ranks, nil)
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -149,6 +149,19 @@
 	}, slots(2, 100*time.Millisecond)) < 200*time.Millisecond)
 }
 
+// Guards against an urgent rank that is served last because many others were seen before it.
+func TestRankBeyondTheLimitKeepsItsOrder(t *testing.T) {
+	is := is.New(t)
+	q := admission.New[string]()
+	for n := range 32 {
+		q.Arrived(start, n+1)
+	}
+	is.True(offer(q, 1, 5, "a", slots(1, 100*time.Millisecond)))
+	is.True(offer(q, 2, 0, "a", slots(1, 100*time.Millisecond)))
+	first, _ := q.Next(start)
+	is.Equal(first.Rank, 0)
+}
+
 // Guards against entries that wait without a chance after the capacity has fallen, and
 // against the refusal of those that still have one.
 func TestExpireWhenCapacityFalls(t *testing.T) {
