admission: entries without a service time follow that of the capacity

Cause: Offer stored the service time of the capacity in an entry that has none. If the targets became slow while it waited, Next and Expire still counted with the former time, and a slot was granted for an answer that would come too late.

Change: the entry keeps none, and Next takes the latest capacity that was stated. The property test compares with the service time of its capacity, since entries are returned as they were offered.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -46,6 +46,8 @@
 	lapsed   []Entry[T]
 	sequence int64
 	grants   grantRate
+	// capacity is the latest that the caller stated.
+	capacity Capacity
 	// payments holds the latest grants, which PutBack may undo.
 	payments    [maxPayments]payment
 	nextPayment int
@@ -133,7 +135,6 @@
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.rank(e.Rank).queued(now, left, e.Organisation)
 	q.sequence++
-	e.ServiceTime = serviceTime(e, c)
 	q.push(e, q.sequence)
 	return Waits{
 		Expected: expected,
@@ -227,7 +228,7 @@
 			return Entry[T]{}, false
 		}
 		i := r.first()
-		if now+i.entry.ServiceTime > i.entry.Deadline {
+		if now+serviceTime(i.entry, q.capacity) > i.entry.Deadline {
 			q.lapse(i)
 			continue
 		}
@@ -280,7 +281,7 @@
 // suits it.
 func (q *Queue[T]) PutBack(now time.Duration, e Entry[T]) {
 	if len(q.items) == 0 {
-		q.grants.start(now, e.ServiceTime)
+		q.grants.start(now, serviceTime(e, q.capacity))
 	}
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.push(e, 0)
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -235,7 +235,8 @@
 	}
 }
 
-// Guards against a slot that is spent on an entry whose time has passed.
+// Guards against a slot that is spent on an entry whose time has passed, or would pass at a
+// target that has become slow.
 func TestNextPassesOverLapsedEntries(t *testing.T) {
 	is := is.New(t)
 	c := slots(2, 100*time.Millisecond)
@@ -247,6 +248,12 @@
 	expired := q.Expire(start+4950*time.Millisecond, c)
 	is.Equal(len(expired), 1)
 	is.Equal(expired[0].ID, uint64(1))
+	is.True(offer(q, 2, 0, "a", c))
+	for _, e := range q.Expire(start, slots(2, 6*time.Second)) {
+		is.Equal(e.ID, uint64(2))
+	}
+	_, ok = q.Next(start)
+	is.True(!ok)
 }
 
 // Guards against a full queue that refuses urgent requests, those of an organisation without
@@ -334,7 +341,7 @@
 				if !ok {
 					break
 				}
-				if now+e.ServiceTime > e.Deadline {
+				if now+c.ServiceTime > e.Deadline {
 					t.Fatalf("entry %d is dequeued too late", e.ID)
 				}
 				for _, other := range inside {
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -79,8 +79,9 @@
 	return min(rate, (n+math.Sqrt(n)+1)/min(now-g.since, g.span).Seconds())
 }
 
-// slotRate returns the rate at which slots become free.
+// slotRate returns the rate at which slots become free, and records the capacity.
 func (q *Queue[T]) slotRate(now time.Duration, c Capacity) float64 {
+	q.capacity = c
 	rate := float64(max(c.Slots, 0)) / max(c.ServiceTime, minServiceTime).Seconds()
 	return q.grants.correct(now, rate, c.ServiceTime, len(q.items) > 0)
 }
