--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -14,8 +14,8 @@
 const (
 	// arrivalSpan is the time whose arrivals determine a rank's proportional share.
 	arrivalSpan = 5 * time.Second
-	// latestSpan is the time of a second count. The larger share of the two holds, since
-	// the callers of a burst give up before it has its weight in the longer one.
+	// latestSpan is the time of a further, shorter count of arrivals. The larger share of the
+	// two holds, since the callers of a burst give up before it has its weight in arrivalSpan.
 	latestSpan = time.Second
 	// leftClasses is the number of classes of time left, each twice as long as the one
 	// before. The first ends at leftClassUnit.
--- a/pkg/zoneload/report.go
+++ b/pkg/zoneload/report.go
@@ -45,7 +45,7 @@
 }
 
 // isShort tells whether fewer than a quarter of the slots are free or requests wait. A zone without
-// slots is short only while requests wait.
+// slots is short only while requests wait or still run.
 func (r Report) isShort() bool {
 	return r.Waiting > 0 || shortSlots*(r.Slots-r.InUse) < r.Slots
 }
