admission: entries that are put back don't end the measured rate

Cause: Next ended the measurement of grants when it dequeued the last entry, and PutBack began a new one. Where no free slot suits any of a few waiting requests, or the allocator looks at the first one for another zone, the measurement never became old enough to count, and the nominal capacity was trusted.

Change: PutBack goes on with a measurement that ended at the same moment.

Result: TestGrantsCountAgainAfterAPause also puts entries back, as TestGrantsCountAfterPausesAndPutBacks. It failed before and passes; the figures of TestLoads and TestNoRankStarves are the same as before.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -101,7 +101,7 @@
 // Served counts a request of the rank that got a slot without waiting.
 func (q *Queue[T]) Served(now time.Duration, rank int) {
 	if len(q.items) == 0 {
-		q.grants.stop()
+		q.grants.stop(now)
 	}
 	q.granted(now, q.rank(rank))
 }
@@ -224,7 +224,7 @@
 	for {
 		r := q.nextRank()
 		if r == nil {
-			q.grants.stop()
+			q.grants.stop(now)
 			return Entry[T]{}, false
 		}
 		i := r.first()
@@ -240,7 +240,7 @@
 		}
 		q.nextPayment = (q.nextPayment + 1) % len(q.payments)
 		if len(q.items) == 0 {
-			q.grants.stop()
+			q.grants.stop(now)
 		}
 		return i.entry, true
 	}
@@ -281,7 +281,7 @@
 // suits it.
 func (q *Queue[T]) PutBack(now time.Duration, e Entry[T]) {
 	if len(q.items) == 0 {
-		q.grants.start(now, serviceTime(e, q.capacity))
+		q.grants.resume(now, serviceTime(e, q.capacity))
 	}
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.push(e, 0)
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -182,9 +183,10 @@
 	is.Equal(len(q.Expire(start+20*time.Millisecond, slots(4, 200*time.Millisecond))), 0)
 }
 
-// Guards against a rate of grants that is ignored for as long as requests wait after the
-// process stood still: slots become free at 2 a second instead of the nominal 200.
-func TestGrantsCountAgainAfterAPause(t *testing.T) {
+// Guards against a rate of grants that is ignored for as long as requests wait, because the
+// process stood still, or whenever no free slot suits any of them: slots become free at 2 a second
+// instead of the nominal 200.
+func TestGrantsCountAfterPausesAndPutBacks(t *testing.T) {
 	is := is.New(t)
 	c := slots(40, 200*time.Millisecond)
 	q := admission.New[string]()
@@ -199,6 +201,14 @@
 			_, ok := q.Next(now)
 			is.True(ok)
 			is.Equal(len(q.Expire(now, c)), 0)
+			var unsuited []admission.Entry[string]
+			for q.Len() > 0 {
+				e, _ := q.Next(now)
+				unsuited = append(unsuited, e)
+			}
+			for _, e := range slices.Backward(unsuited) {
+				q.PutBack(now, e)
+			}
 		}
 		expected := q.Expect(now, admission.Entry[string]{
 			Organisation: "a",
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -35,6 +35,8 @@
 	since  time.Duration
 	// last is when the rate was last used while requests waited.
 	last time.Duration
+	// stopped is when the measurement was last ended.
+	stopped time.Duration
 }
 
 // start begins a measurement unless one goes on. It begins anew if the service time has grown
@@ -52,7 +54,21 @@
 }
 
 // stop ends the measurement: a slot is free for requests that don't wait.
-func (g *grantRate) stop() { g.active = false }
+func (g *grantRate) stop(now time.Duration) {
+	if g.active {
+		g.active = false
+		g.stopped = now
+	}
+}
+
+// resume goes on with a measurement that was ended at the same moment, by dequeuing an entry that
+// is put back, or else begins one.
+func (g *grantRate) resume(now, serviceTime time.Duration) {
+	if g.window != nil && g.stopped == now {
+		g.active = true
+	}
+	g.start(now, serviceTime)
+}
 
 // add counts grants.
 func (g *grantRate) add(now time.Duration, n float64) {
