--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -31,7 +31,7 @@
 	// is owed.
 	maxPayments = 64
 	// maxRanks bounds the number of ranks that are told apart, against messages with
-	// arbitrary ranks. Entries of further ranks count as of the least urgent one.
+	// arbitrary ranks. Entries of a further rank count as of the next less urgent one.
 	maxRanks = 32
 )
 
@@ -46,6 +46,8 @@
 	lapsed   []Entry[T]
 	sequence int64
 	grants   grantRate
+	// capacity is the latest that the caller stated.
+	capacity Capacity
 	// payments holds the latest grants, which PutBack may undo.
 	payments    [maxPayments]payment
 	nextPayment int
@@ -99,14 +101,19 @@
 // Served counts a request of the rank that got a slot without waiting.
 func (q *Queue[T]) Served(now time.Duration, rank int) {
 	if len(q.items) == 0 {
-		q.grants.stop()
+		q.grants.stop(now)
 	}
 	q.granted(now, q.rank(rank))
 }
 
 // Offer queues an entry, or refuses it if it can't be served within its time. An entry
-// that is less urgent may be displaced by it; the next Expire returns that one.
+// that is less urgent may be displaced by it; the next Expire returns that one. An entry
+// that is offered again while it waits keeps its place.
 func (q *Queue[T]) Offer(now time.Duration, e Entry[T], c Capacity) Verdict {
+	if c.Slots <= 0 || q.items[e.ID] == nil {
+		// The new verdict replaces that of an entry that Expire has yet to return.
+		q.Remove(e.ID)
+	}
 	expected := q.Expect(now, e, c)
 	left := e.Deadline - now
 	switch {
@@ -128,7 +135,6 @@
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.rank(e.Rank).queued(now, left, e.Organisation)
 	q.sequence++
-	e.ServiceTime = serviceTime(e, c)
 	q.push(e, q.sequence)
 	return Waits{
 		Expected: expected,
@@ -173,7 +179,8 @@
 
 // displaced returns the organisation that gives up its last entry for another one: that
 // with the most entries in the least urgent rank, if that is less urgent; or in the same
-// rank, if it has more than the other's organisation would have then. A rank that is owed
+// rank, if it has more than the other's organisation would have then; or the other's
+// organisation itself, if its last entry is due later than the other. A rank that is owed
 // a grant and has no entry gets a place from the most urgent rank, so that it keeps its
 // minimum share.
 func (q *Queue[T]) displaced(e Entry[T]) *organisation[T] {
@@ -198,12 +205,16 @@
 		return nil
 	}
 	length := 0
-	if o := own.organisations[e.Organisation]; o != nil {
-		length = len(o.items)
+	same := own.organisations[e.Organisation]
+	if same != nil {
+		length = len(same.items)
 	}
 	if o := own.longest(); len(o.items) > length+1 {
 		return o
 	}
+	if length > 0 && same.items[length-1].entry.Deadline > e.Deadline {
+		return same
+	}
 	return nil
 }
 
@@ -213,11 +224,11 @@
 	for {
 		r := q.nextRank()
 		if r == nil {
-			q.grants.stop()
+			q.grants.stop(now)
 			return Entry[T]{}, false
 		}
 		i := r.first()
-		if now+i.entry.ServiceTime > i.entry.Deadline {
+		if now+serviceTime(i.entry, q.capacity) > i.entry.Deadline {
 			q.lapse(i)
 			continue
 		}
@@ -229,7 +240,7 @@
 		}
 		q.nextPayment = (q.nextPayment + 1) % len(q.payments)
 		if len(q.items) == 0 {
-			q.grants.stop()
+			q.grants.stop(now)
 		}
 		return i.entry, true
 	}
@@ -270,7 +281,7 @@
 // suits it.
 func (q *Queue[T]) PutBack(now time.Duration, e Entry[T]) {
 	if len(q.items) == 0 {
-		q.grants.start(now, e.ServiceTime)
+		q.grants.resume(now, serviceTime(e, q.capacity))
 	}
 	q.lastDeadline = max(q.lastDeadline, e.Deadline)
 	q.push(e, 0)
@@ -360,7 +371,7 @@
 		}
 	}
 	if len(q.ranks) == maxRanks {
-		return q.ranks[maxRanks-1]
+		return q.ranks[min(at, maxRanks-1)]
 	}
 	r := newRank[T](number)
 	q.ranks = append(q.ranks, nil)
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -149,6 +150,19 @@
 	}, slots(2, 100*time.Millisecond)) < 200*time.Millisecond)
 }
 
+// Guards against an urgent rank that is served last because many others were seen before it.
+func TestRankBeyondTheLimitKeepsItsOrder(t *testing.T) {
+	is := is.New(t)
+	q := admission.New[string]()
+	for n := range 32 {
+		q.Arrived(start, n+1)
+	}
+	is.True(offer(q, 1, 5, "a", slots(1, 100*time.Millisecond)))
+	is.True(offer(q, 2, 0, "a", slots(1, 100*time.Millisecond)))
+	first, _ := q.Next(start)
+	is.Equal(first.Rank, 0)
+}
+
 // Guards against entries that wait without a chance after the capacity has fallen, and
 // against the refusal of those that still have one.
 func TestExpireWhenCapacityFalls(t *testing.T) {
@@ -169,7 +183,70 @@
 	is.Equal(len(q.Expire(start+20*time.Millisecond, slots(4, 200*time.Millisecond))), 0)
 }
 
-// Guards against a slot that is spent on an entry whose time has passed.
+// Guards against a rate of grants that is ignored for as long as requests wait, because the
+// process stood still, or whenever no free slot suits any of them: slots become free at 2 a second
+// instead of the nominal 200.
+func TestGrantsCountAfterPausesAndPutBacks(t *testing.T) {
+	is := is.New(t)
+	c := slots(40, 200*time.Millisecond)
+	q := admission.New[string]()
+	for n := range 30 {
+		is.True(offerWithLeft(q, uint64(n+1), 0, "a", c, time.Minute))
+	}
+	now := start
+	for _, pause := range []time.Duration{0, 3 * time.Second} {
+		now += pause
+		for range 5 {
+			now += 500 * time.Millisecond
+			_, ok := q.Next(now)
+			is.True(ok)
+			is.Equal(len(q.Expire(now, c)), 0)
+			var unsuited []admission.Entry[string]
+			for q.Len() > 0 {
+				e, _ := q.Next(now)
+				unsuited = append(unsuited, e)
+			}
+			for _, e := range slices.Backward(unsuited) {
+				q.PutBack(now, e)
+			}
+		}
+		expected := q.Expect(now, admission.Entry[string]{
+			Organisation: "a",
+			Deadline:     now + time.Minute,
+		}, c)
+		is.True(expected > 4*time.Second)
+	}
+}
+
+// Guards against the refusal of entries with enough time when requests become slow while others
+// wait: slots then become free 40 at once each 3 s, longer than grants were counted over before.
+func TestGrantsAreCountedForLongEnough(t *testing.T) {
+	is := is.New(t)
+	q := admission.New[string]()
+	for n := range 300 {
+		is.True(offerWithLeft(q, uint64(n+1), 0, "a", slots(40, 200*time.Millisecond), time.Minute))
+	}
+	now := start
+	serve := func(grants, steps int, c admission.Capacity) {
+		for range grants {
+			_, ok := q.Next(now)
+			is.True(ok)
+		}
+		for range steps {
+			now += 100 * time.Millisecond
+			is.Equal(len(q.Expire(now, c)), 0)
+		}
+	}
+	for range 70 {
+		serve(1, 1, slots(40, 200*time.Millisecond))
+	}
+	for range 4 {
+		serve(40, 30, slots(40, 3*time.Second))
+	}
+}
+
+// Guards against a slot that is spent on an entry whose time has passed, or would pass at a
+// target that has become slow.
 func TestNextPassesOverLapsedEntries(t *testing.T) {
 	is := is.New(t)
 	c := slots(2, 100*time.Millisecond)
@@ -181,10 +258,16 @@
 	expired := q.Expire(start+4950*time.Millisecond, c)
 	is.Equal(len(expired), 1)
 	is.Equal(expired[0].ID, uint64(1))
+	is.True(offer(q, 2, 0, "a", c))
+	for _, e := range q.Expire(start, slots(2, 6*time.Second)) {
+		is.Equal(e.ID, uint64(2))
+	}
+	_, ok = q.Next(start)
+	is.True(!ok)
 }
 
-// Guards against a full queue that refuses urgent requests, or those of an organisation
-// without any while another has many.
+// Guards against a full queue that refuses urgent requests, those of an organisation without
+// any while another has many, or those that are due before others of their organisation.
 func TestFullQueue(t *testing.T) {
 	is := is.New(t)
 	c := slots(40, 100*time.Millisecond)
@@ -201,6 +284,9 @@
 	is.Equal(len(displaced), 2)
 	is.Equal(displaced[0].ID, uint64(10))
 	is.Equal(displaced[1].ID, uint64(9))
+	is.True(offerWithLeft(q, 15, 1, "hot", c, time.Second))
+	is.Equal(q.Waiting(), map[int]int{0: 1, 1: 9})
+	is.Equal(q.Expire(start, c)[0].ID, uint64(8))
 }
 
 // Guards against a rank that gains by entries that are dequeued and put back.
@@ -225,8 +311,8 @@
 	is.True(first[1] >= 5 && first[1] <= 7) // 0.15 of 40
 }
 
-// Guards against entries that are lost or returned twice, and an organisation's entries out
-// of the order of their deadlines.
+// Guards against entries that are lost or returned twice, also if they are offered again, and
+// an organisation's entries out of the order of their deadlines.
 func TestEachEntryLeavesOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := admission.New[int](admission.WithMaxLength(rapid.IntRange(1, 30).Draw(t, "length")))
@@ -243,23 +329,29 @@
 			c := slots(rapid.IntRange(0, 20).Draw(t, "slots"), 100*time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1, 2:
+				id := id - min(id, uint64(rapid.IntRange(0, 3).Draw(t, "again")))
 				e := admission.Entry[int]{
 					ID:           id,
 					Rank:         rapid.IntRange(0, 3).Draw(t, "rank"),
 					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
 					Deadline:     now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "left"))*time.Millisecond,
 				}
+				if first, ok := inside[id]; ok {
+					e = first
+				}
 				q.Arrived(now, e.Rank)
 				if _, waits := q.Offer(now, e, c).(admission.Waits); waits {
 					inside[id] = e
 					lapsed = true // another one may be displaced
+				} else {
+					delete(inside, id)
 				}
 			case 3:
 				e, ok := q.Next(now)
 				if !ok {
 					break
 				}
-				if now+e.ServiceTime > e.Deadline {
+				if now+c.ServiceTime > e.Deadline {
 					t.Fatalf("entry %d is dequeued too late", e.ID)
 				}
 				for _, other := range inside {
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -35,22 +35,40 @@
 	since  time.Duration
 	// last is when the rate was last used while requests waited.
 	last time.Duration
+	// stopped is when the measurement was last ended.
+	stopped time.Duration
 }
 
-// start begins a measurement unless one goes on.
+// start begins a measurement unless one goes on. It begins anew if the service time has grown
+// so much that the span no longer covers half of the rounds.
 func (g *grantRate) start(now, serviceTime time.Duration) {
-	if g.active && now-g.last < g.span {
+	span := max(minGrantSpan, grantRounds*serviceTime)
+	if g.active && now-g.last < g.span && span <= 2*g.span {
 		return
 	}
 	g.active = true
 	g.since = now
 	g.last = now
-	g.span = max(minGrantSpan, grantRounds*serviceTime)
+	g.span = span
 	g.window = meter.NewWindow(g.span)
 }
 
 // stop ends the measurement: a slot is free for requests that don't wait.
-func (g *grantRate) stop() { g.active = false }
+func (g *grantRate) stop(now time.Duration) {
+	if g.active {
+		g.active = false
+		g.stopped = now
+	}
+}
+
+// resume goes on with a measurement that was ended at the same moment, by dequeuing an entry that
+// is put back, or else begins one.
+func (g *grantRate) resume(now, serviceTime time.Duration) {
+	if g.window != nil && g.stopped == now {
+		g.active = true
+	}
+	g.start(now, serviceTime)
+}
 
 // add counts grants.
 func (g *grantRate) add(now time.Duration, n float64) {
@@ -62,6 +80,11 @@
 // correct returns the rate, or what the grants seen lately allow if that is lower. One
 // standard deviation of the count is allowed for.
 func (g *grantRate) correct(now time.Duration, rate float64, serviceTime time.Duration, waiting bool) float64 {
+	if g.active && waiting {
+		// The measurement is also begun anew if it was not used for its span, as when the
+		// process stood still.
+		g.start(now, serviceTime)
+	}
 	if !g.active || now-g.since < max(minRateSpan, minGrantRounds*serviceTime) || now-g.last >= g.span {
 		return rate
 	}
@@ -72,8 +95,9 @@
 	return min(rate, (n+math.Sqrt(n)+1)/min(now-g.since, g.span).Seconds())
 }
 
-// slotRate returns the rate at which slots become free.
+// slotRate returns the rate at which slots become free, and records the capacity.
 func (q *Queue[T]) slotRate(now time.Duration, c Capacity) float64 {
+	q.capacity = c
 	rate := float64(max(c.Slots, 0)) / max(c.ServiceTime, minServiceTime).Seconds()
 	return q.grants.correct(now, rate, c.ServiceTime, len(q.items) > 0)
 }
