gateway: join the warm-up limit and the evacuation of zones

A cold target now gets a request only with a permit of its keeper, which is asked like that of a target that names a limit. A target that could not be reached counts as cold, and the other instances are told. A target of an evacuated zone is not chosen, and a request already placed there is not sent. Services without warm-up columns and stores without evacuation keys see no change in what is sent.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -17,6 +18,7 @@
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/retry"
 	"dandelionmux/pkg/target"
+	"dandelionmux/pkg/warmup"
 )
 
 // Times and limits of dispatching requests.
@@ -51,6 +53,9 @@
 	// unresponsiveReportAt holds when it may next be reported of a target that it seems to
 	// have stopped answering.
 	unresponsiveReportAt map[string]time.Duration
+	// unreachedReportAt holds when it may next be reported of a target that it could not be
+	// reached.
+	unreachedReportAt map[string]time.Duration
 	// newRequests counts the requests begun since countingSince, for the next decision
 	// request about a retry. countingSince is when that count was last sent or restarted.
 	newRequests   int
@@ -67,8 +72,8 @@
 // dispatcher implements entry.Dispatcher.
 type dispatcher struct{ gateway *Gateway }
 
-// Acquire implements entry.Dispatcher. A target that names a limit gets the request only
-// if its keeper permits that; if not, another target is chosen.
+// Acquire implements entry.Dispatcher. A target that names a limit or is cold gets the request
+// only if its keeper permits that; if not, another target is chosen.
 func (d dispatcher) Acquire(ctx context.Context, request entry.SlotRequest) (entry.Slot, error) {
 	g := d.gateway
 	for {
@@ -79,11 +84,11 @@
 		if acquired == nil {
 			return nil, g.noTarget(ctx, request)
 		}
-		if limit.Kind != meter.Limited {
+		if limit.Kind != meter.Limited && !acquired.warmUp.Limits() {
 			acquired.start()
 			return acquired, nil
 		}
-		decision := g.requestAllowance(ctx, acquired.target.Name, limit)
+		decision := g.requestPermit(ctx, acquired, limit)
 		if decision.Granted {
 			acquired.start()
 			return acquired, nil
@@ -149,6 +154,7 @@
 		inUse:           s.table.InUse(now, chosen.Name),
 	}
 	acquired.permit, _ = request.Permit.(*permit)
+	st.setWarmUp(now, acquired)
 	return acquired, st.targetLimits.Limit(chosen.Name)
 }
 
@@ -168,6 +174,8 @@
 			return
 		}
 		switch wait := s.table.Wait(boot.Now()); {
+		case s.table.OnlyEvacuated():
+			refusal.Reason = "zone-evacuated"
 		case wait.Resting:
 			// Those who come back at the same moment would all meet the same target.
 			refusal.Reason = "targets-resting"
@@ -319,6 +327,15 @@
 	// inUse is the number of requests running at the target at that time, including
 	// this one.
 	inUse int
+	// warmUp is the warm-up limit of the target if it was cold when it was chosen, and
+	// permittedUntil when the permit of its keeper lapses, or zero if there is none. The latter
+	// is guarded by localState.mu.
+	warmUp         warmup.Policy
+	permittedUntil time.Duration
+	// unsent is set if MaySend has kept the request from the target, and withheld if the
+	// reason was that there was no permit or that the target's zone is evacuated.
+	unsent   atomic.Bool
+	withheld atomic.Bool
 }
 
 // start counts the attempt and begins to wait for its answer.
@@ -381,8 +398,12 @@
 }
 
 // effectiveOutcome returns the outcome that counts for the target. If another target
-// answered at the address, this one counts as unreachable.
+// answered at the address, this one counts as unreachable. A request that was withheld says
+// nothing about it.
 func (sl *slot) effectiveOutcome(e entry.AttemptResult) target.Outcome {
+	if sl.withheld.Load() {
+		return target.Cancelled
+	}
 	if e.Misdirected {
 		return target.Refused
 	}
@@ -394,8 +415,14 @@
 	st := sl.gateway.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	now := boot.Now()
 	s := st.services[sl.service]
-	return s != nil && s.table.MaySend(boot.Now(), sl.target.Name)
+	if s == nil {
+		return false
+	}
+	sl.withheld.Store(st.isEvacuated(sl.target.Zone) || !st.usePermit(now, sl))
+	sl.unsent.Store(sl.withheld.Load() || !s.table.MaySend(now, sl.target.Name))
+	return !sl.unsent.Load()
 }
 
 // Release implements entry.Slot.
@@ -420,9 +447,11 @@
 		reused:  e.Reused,
 		rested:  e.Rested,
 		permit:  sl.permit,
+		unsent:  sl.unsent.Load(),
 
 		incarnation: sl.incarnation,
 	}
+	g.recordReached(report)
 	held := e.LostConnection && report.outcome != target.Cancelled
 	notify := false
 	g.state.withLock(func() {
@@ -448,8 +477,8 @@
 	}
 	if held {
 		g.holdFailure(sl.began, report)
-	} else if notify {
-		g.reportOutcome(report, true)
+	} else if notify || report.outcome == target.Refused {
+		g.reportOutcome(report, notify)
 	}
 }
 
@@ -499,6 +528,8 @@
 	// reused and rested are as in entry.AttemptResult.
 	reused bool
 	rested time.Duration
+	// unsent is as in slot.
+	unsent bool
 	// incarnation is that of the target when it was chosen.
 	incarnation int64
 	// permit is that of the request; nil if its strike isn't to be recorded.
@@ -527,6 +558,7 @@
 // reportOutcome reports an attempt that counts for its target: the outcome if notify is
 // set, and the strike if its connection died under the request.
 func (g *Gateway) reportOutcome(r attemptReport, notify bool) {
+	g.recordUnreached(r, notify)
 	m := failureReport{
 		Target:  r.target,
 		Outcome: r.outcome,
@@ -689,6 +721,7 @@
 		}
 		if !m.Unresponsive {
 			s.table.ReceiveOutcome(now, m.Target, m.Outcome)
+			g.state.receiveContact(now, m)
 		}
 		switch {
 		case m.Age == 0:
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -200,7 +200,7 @@
 	case retryBudget:
 		return st.takeRetry(now, request, zones)
 	case targetLimit:
-		return st.targetLimits.Take(now, request.Name, targetLimitOf(request.Amount))
+		return st.takePermit(now, request)
 	}
 	rate, ok := st.rateOf(request.Name)
 	if !ok {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -13,12 +13,17 @@
 // requestAllowance returns the decision of a target's keeper whether the target may get a
 // request now.
 func (g *Gateway) requestAllowance(ctx context.Context, targetName string, limit meter.TargetLimit) meter.Decision {
-	r := decisionRequest{
+	return g.askTargetKeeper(ctx, decisionRequest{
 		Kind:   targetLimit,
 		Name:   targetName,
 		Amount: wireLimit(limit),
-	}
-	keeper := g.keeper(targetLimit, targetName)
+	})
+}
+
+// askTargetKeeper returns the decision of a target's keeper about a request of kind
+// targetLimit. If the keeper doesn't answer, the target gets nothing.
+func (g *Gateway) askTargetKeeper(ctx context.Context, r decisionRequest) meter.Decision {
+	keeper := g.keeper(r.Kind, r.Name)
 	decision := meter.Decision{}
 	answered := false
 	switch {
@@ -36,11 +41,16 @@
 		g.state.withLock(func() { decision = g.state.targetLimits.TakeWithoutKeeper() })
 	}
 	if !decision.Granted {
-		g.count("Limit.Denied")
+		if r.Cold {
+			g.count("WarmUp.Denied")
+		} else {
+			g.count("Limit.Denied")
+		}
 		g.logger.Debug("target takes no more requests",
 			slog.String("Request", entry.RequestID(ctx)),
-			slog.String("Target", targetName),
-			slog.Float64("PerSecond", limit.PerSecond),
+			slog.String("Target", r.Name),
+			slog.Float64("PerSecond", targetLimitOf(r.Amount).PerSecond),
+			slog.Bool("Cold", r.Cold),
 			slog.Bool("Answered", answered),
 			slog.Duration("RetryAfter", decision.RetryAfter))
 	}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -34,6 +34,10 @@
 	Amount int
 	// Over is the time over which Amount requests were begun, for a retry budget.
 	Over time.Duration
+	// Cold is set if the target is cold. Amount is then the lesser of its limits, and Limited
+	// is set if that is one that the target names.
+	Cold    bool
+	Limited bool
 	// Forward tells the receiver to forward the request once if it knows another
 	// keeper.
 	Forward bool
@@ -220,7 +224,8 @@
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
 // instance address or a zone, fieldAmount a fraction in parts per million, a number of
 // retries or a limit per 1000 s, fieldGranted whether a target names a limit or is
-// unresponsive, or an instance reaches no service, fieldNumber a time in nanoseconds, a number
+// unresponsive, or an instance reaches no service, fieldUnreached also whether a target is cold,
+// fieldNumber a time in nanoseconds, a number
 // of requests or, zigzag encoded, evidence in hundredths, fieldOver an age, and
 // fieldForward, in an item of loanRequests, the flag FleetKeeper. fieldRetryAfter and
 // fieldOver are in milliseconds.
@@ -263,6 +268,12 @@
 	if m.Over > 0 {
 		b = appendNumber(b, fieldOver, uint64(m.Over.Milliseconds()))
 	}
+	if m.Cold {
+		b = appendNumber(b, fieldUnreached, protowire.EncodeBool(true))
+	}
+	if m.Limited {
+		b = appendNumber(b, fieldGranted, protowire.EncodeBool(true))
+	}
 	return b
 }
 
@@ -448,6 +459,8 @@
 			Name:    f.texts[fieldName],
 			Amount:  int(min(f.numbers[fieldAmount], math.MaxInt32)),
 			Over:    f.over(),
+			Cold:    protowire.DecodeBool(f.numbers[fieldUnreached]),
+			Limited: protowire.DecodeBool(f.numbers[fieldGranted]),
 			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
 			Origin:  instance.Address(f.texts[fieldService]),
 		}, nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,9 +51,11 @@
 	}
 	for _, s := range g.state.targetCounts(boot.Now()) {
 		_, _ = fmt.Fprintf(w, "Targets.%[1]s.Healthy %[2]d\nTargets.%[1]s.OnProbation %[3]d\n"+
-			"Targets.%[1]s.Unavailable %[4]d\nTargets.%[1]s.Held %[5]d\nTargets.%[1]s.Resting %[6]d\nTargets.%[1]s.Leaving %[7]d\n",
-			s.service, s.Healthy, s.OnProbation, s.Unavailable, s.Held, s.Resting, s.Leaving)
+			"Targets.%[1]s.Unavailable %[4]d\nTargets.%[1]s.Held %[5]d\nTargets.%[1]s.Resting %[6]d\nTargets.%[1]s.Leaving %[7]d\n"+
+			"Targets.%[1]s.Evacuated %[8]d\n",
+			s.service, s.Healthy, s.OnProbation, s.Unavailable, s.Held, s.Resting, s.Leaving, s.Evacuated)
 	}
+	g.writeZoneMetrics(w, boot.Now())
 	g.registry.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -53,6 +53,23 @@
 	RetryWindow time.Duration
 	// RateTolerance is what the fleet may grant beyond an organisation's rate.
 	RateTolerance meter.Tolerance
+	// WarmUpOverage and WarmUpSlack are the factor and the number of requests that a cold target
+	// may get beyond its service's limit in one second. If WarmUpOverage isn't positive, cold
+	// targets aren't limited.
+	WarmUpOverage float64
+	WarmUpSlack   float64
+	// EvacuationTime is how long after an operator's request to evacuate a zone its targets may
+	// still get requests; zero stands for MaxConfigurationAge.
+	EvacuationTime time.Duration
+}
+
+// maxContentAge returns how long the content of the store may be used after the last
+// confirmation that it is the newest.
+func (s Settings) maxContentAge() time.Duration {
+	if s.EvacuationTime > 0 {
+		return min(s.MaxConfigurationAge, s.EvacuationTime)
+	}
+	return s.MaxConfigurationAge
 }
 
 // Check returns an error that names the first invalid setting, or nil.
@@ -73,6 +90,8 @@
 		return errors.New("settings: Zone: must not be empty")
 	case s.MaxConfigurationAge <= configurationAgeMargin:
 		return errors.Errorf("settings: MaxConfigurationAge: %s is not more than %s", s.MaxConfigurationAge, configurationAgeMargin)
+	case s.maxContentAge() <= configurationAgeMargin:
+		return errors.Errorf("settings: EvacuationTime: %s is not more than %s", s.EvacuationTime, configurationAgeMargin)
 	case s.StopTimeout <= 0:
 		return errors.Errorf("settings: StopTimeout: %s is not more than zero", s.StopTimeout)
 	case s.RetryWindow <= 0:
@@ -89,6 +108,9 @@
 	// TargetPrefix the prefix of the keys of the targets' registrations.
 	ConfigurationKey string
 	TargetPrefix     string
+	// EvacuationPrefix is the prefix of the keys that request the evacuation of the zone whose
+	// name follows; empty if there are none.
+	EvacuationPrefix string
 	// DecodeConfiguration and DecodeTarget decode the values of these keys.
 	DecodeConfiguration func(value []byte) (document.Document, error)
 	DecodeTarget        func(key string, value []byte) (target.Registration, error)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 	"dandelionmux/internal/boot"
 	"dandelionmux/internal/entry"
 	"dandelionmux/pkg/document"
+	"dandelionmux/pkg/evacuation"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/link"
 	"dandelionmux/pkg/meter"
@@ -27,6 +28,7 @@
 	"dandelionmux/pkg/source"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
+	"dandelionmux/pkg/warmup"
 )
 
 // memberPrefix is the store key prefix under which instances register.
@@ -64,8 +66,10 @@
 	origin origin
 	// comparison is with the mirrors of others.
 	comparison mirror.Comparison
-	// loading is set while the first content of the store is applied.
+	// loading is set while the first content of the store is applied, and setBack while the
+	// content of a store that was set back is.
 	loading  bool
+	setBack  bool
 	targets  *target.Registry
 	members  map[instance.Address]member
 	roster   *roster.Roster
@@ -78,7 +82,11 @@
 	lenders    *meter.Lenders
 	// targetLimits holds the limits that targets have named.
 	targetLimits *meter.TargetLimits
-	strikes      *quarantine.Tally
+	// warmUps tells which targets are cold, and evacuated the zones whose targets get no
+	// requests.
+	warmUps   *warmup.Limiter
+	evacuated *evacuation.Zones
+	strikes   *quarantine.Tally
 	// unconfirmed holds the strikes that this instance saw while its links may have been
 	// lost.
 	unconfirmed quarantine.Unconfirmed
@@ -222,6 +230,8 @@
 			Span:  g.settings.RetryWindow,
 		}),
 		targetLimits:      meter.NewTargetLimits(),
+		warmUps:           warmup.NewLimiter(),
+		evacuated:         evacuation.New(),
 		strikes:           quarantine.NewTally(),
 		links:             link.New[attemptReport](newRandom()),
 		targetAt:          map[string]targetName{},
@@ -271,9 +281,9 @@
 	}
 	// What a store that was set back has lost is written again by those who wrote it, as
 	// after an outage.
-	st.loading = initial
+	st.loading, st.setBack = initial, setBack
 	targetsChanged, membersChanged := st.applyEntries(now, changes, outage || setBack)
-	st.loading = false
+	st.loading, st.setBack = false, false
 	if initial {
 		st.logInitialContent()
 	}
@@ -317,6 +327,8 @@
 				st.applyConfiguration(e)
 			case strings.HasPrefix(e.Key, st.gateway.adapters.TargetPrefix):
 				targetsChanged = st.applyTarget(now, e, outage) || targetsChanged
+			case st.gateway.isEvacuation(e.Key):
+				st.applyEvacuation(now, e)
 			case strings.HasPrefix(e.Key, quarantinePrefix):
 				st.applyQuarantine(now, e, outage)
 			case strings.HasPrefix(e.Key, memberPrefix):
@@ -335,7 +347,7 @@
 		return
 	}
 	st.publishedTrust = trustedAt
-	until := trustedAt + st.gateway.settings.MaxConfigurationAge - configurationAgeMargin
+	until := trustedAt + st.gateway.settings.maxContentAge() - configurationAgeMargin
 	st.gateway.publish(func(s *entry.Snapshot) { s.TrustedUntil = until })
 }
 
@@ -400,6 +412,7 @@
 	if !st.targets.Put(r) {
 		return false
 	}
+	st.warmUps.Registered(now, name, r.Incarnation, r.WarmupRemaining, st.warmUpPolicy(r.Service))
 	level := slog.LevelInfo
 	if st.loading {
 		level = slog.LevelDebug // one of all that the store holds
@@ -485,9 +498,11 @@
 func (st *localState) updateTables(now time.Duration) {
 	services := st.targets.Services()
 	st.targetLimits.Retain(st.targets.Has)
+	st.warmUps.Retain(st.targets.Has)
 	for name, s := range st.services {
 		s.table.Update(now, services[name])
 		maps.DeleteFunc(s.unresponsiveReportAt, func(_ string, at time.Duration) bool { return now >= at })
+		maps.DeleteFunc(s.unreachedReportAt, func(_ string, at time.Duration) bool { return now >= at })
 	}
 	for name, list := range services {
 		if st.services[name] == nil {
@@ -498,7 +513,9 @@
 				inFlight:  inFlight{},
 
 				unresponsiveReportAt: map[string]time.Duration{},
+				unreachedReportAt:    map[string]time.Duration{},
 			}
+			st.services[name].table.SetEvacuated(st.isEvacuated)
 			st.services[name].table.Update(now, list)
 		}
 	}
@@ -552,6 +569,7 @@
 			st.budgets.Forget(string(a))
 		}
 	}
+	st.expireEvacuations(now)
 	st.lenders.Expire(now)
 	st.helpers.Expire(now)
 	maps.DeleteFunc(st.formerUntil, func(_ string, until time.Duration) bool { return now >= until })
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -130,6 +130,10 @@
 	// targets that are not leaving. No target is ejected if that would take the
 	// service below it. 0 means the floor of the policy.
 	Floor int
+	// WarmUp is how long a target is cold after it starts, and WarmUpPerSecond the number of
+	// requests a second that it tolerates then. If either isn't positive, there is no limit.
+	WarmUp          time.Duration
+	WarmUpPerSecond float64
 }
 
 // Target is one server of a service.
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -73,6 +73,9 @@
 	return ok && (until == 0 || now < until)
 }
 
+// Any reports whether any zone may be evacuated.
+func (z *Zones) Any() bool { return len(z.until) > 0 }
+
 // List returns the evacuated zones, sorted.
 func (z *Zones) List(now time.Duration) []string {
 	var list []string
--- a/pkg/meter/target_limits.go
+++ b/pkg/meter/target_limits.go
@@ -11,9 +11,9 @@
 	// whose turn it is has no request.
 	targetBurstSpan = 500 * time.Millisecond
 	minTargetBurst  = 2
-	// minTargetRate is the number of requests a second that a target gets even if its
+	// MinTargetRate is the number of requests a second that a target gets even if its
 	// limit is lower: only its answers tell that the limit has ended.
-	minTargetRate = 0.1
+	MinTargetRate = 0.1
 	// noKeeperHold is how long an instance leaves a limited target alone after its keeper
 	// did not answer.
 	noKeeperHold = time.Second
@@ -141,7 +141,7 @@
 }
 
 // rate returns how many requests a second are granted.
-func (n *namedLimit) rate() float64 { return max(n.perSecond, minTargetRate) }
+func (n *namedLimit) rate() float64 { return max(n.perSecond, MinTargetRate) }
 
 // refill adds the units that came in since the last call.
 func (n *namedLimit) refill(now time.Duration) {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -79,6 +79,8 @@
 	// rests holds until when targets rest, by name, also while they aren't in the list: their
 	// registration may lapse and come back.
 	rests map[string]targetRest
+	// isEvacuated reports whether the targets of a zone get no requests.
+	isEvacuated func(zone string) bool
 }
 
 // targetRest is until when a target at an address rests.
@@ -171,7 +173,30 @@
 		random:  random,
 		targets: map[string]*targetState{},
 		rests:   map[string]targetRest{},
+
+		isEvacuated: func(string) bool { return false },
+	}
+}
+
+// SetEvacuated sets the function that reports whether the targets of a zone get no requests at
+// all, not even if the others are too few. By default no zone is evacuated.
+func (t *Table) SetEvacuated(isEvacuated func(zone string) bool) { t.isEvacuated = isEvacuated }
+
+// outOfUse reports whether a target gets no requests until its registration or an operator says
+// otherwise.
+func (t *Table) outOfUse(s *targetState) bool { return s.Leaving || t.isEvacuated(s.Zone) }
+
+// OnlyEvacuated reports whether there are targets, and all that aren't leaving are in evacuated
+// zones.
+func (t *Table) OnlyEvacuated() bool {
+	evacuated := false
+	for _, s := range t.order {
+		if !t.outOfUse(s) {
+			return false
+		}
+		evacuated = evacuated || !s.Leaving
 	}
+	return evacuated
 }
 
 // Update replaces the list of targets. A target that keeps its name and address
@@ -235,7 +260,7 @@
 	var healthy, onProbation, degraded, ejected []*targetState
 	all := 0
 	for _, s := range t.order {
-		if s.Leaving {
+		if t.outOfUse(s) {
 			continue
 		}
 		all++
@@ -300,7 +325,7 @@
 // MaySend reports whether a request may still be sent to a target that was chosen for it.
 func (t *Table) MaySend(now time.Duration, name string) bool {
 	s := t.targets[name]
-	return s != nil && !s.Leaving && now >= s.restUntil
+	return s != nil && !t.outOfUse(s) && now >= s.restUntil
 }
 
 // Wait is how long no target takes a request.
@@ -317,7 +342,7 @@
 	var least Wait
 	for _, s := range t.order {
 		d := max(s.heldUntil, s.restUntil) - now
-		if d > 0 && !s.Leaving && (least.Until == 0 || d < least.Until) {
+		if d > 0 && !t.outOfUse(s) && (least.Until == 0 || d < least.Until) {
 			least = Wait{
 				Until:   d,
 				Resting: s.restUntil > s.heldUntil,
@@ -582,7 +607,7 @@
 	}
 	all, out := 0, 1
 	for _, s := range t.order {
-		if s.Leaving {
+		if t.outOfUse(s) {
 			continue
 		}
 		all++
@@ -654,6 +679,8 @@
 	Held    int
 	Resting int
 	Leaving int
+	// Evacuated counts targets in evacuated zones.
+	Evacuated int
 }
 
 // Counts returns the number of targets in each state, for logs and metrics.
@@ -663,6 +690,8 @@
 		switch {
 		case s.Leaving:
 			c.Leaving++
+		case t.isEvacuated(s.Zone):
+			c.Evacuated++
 		case now < s.restUntil:
 			c.Resting++
 		case now < s.heldUntil:
@@ -688,11 +717,12 @@
 	Usable bool
 }
 
-// Availabilities returns the targets that aren't leaving, in the order of their names.
+// Availabilities returns the targets that are neither leaving nor in an evacuated zone, in the
+// order of their names.
 func (t *Table) Availabilities(now time.Duration) []Availability {
 	list := make([]Availability, 0, len(t.order))
 	for _, s := range t.order {
-		if !s.Leaving {
+		if !t.outOfUse(s) {
 			list = append(list, Availability{
 				Target: s.Target,
 				Usable: now >= max(s.ejectedUntil, s.probationUntil, s.pausedUntil, s.heldUntil, s.restUntil),
--- a/pkg/target/registry.go
+++ b/pkg/target/registry.go
@@ -96,6 +96,9 @@
 // Incarnation returns the incarnation of a target, and zero if there is no such target.
 func (r *Registry) Incarnation(name string) int64 { return r.targets[name].Incarnation }
 
+// Service returns the service of a target, and an empty name if there is no such target.
+func (r *Registry) Service(name string) string { return r.targets[name].Service }
+
 // Ended reports whether a run of a target has ended: its registration is gone, or a later run
 // has registered under its name or at its address.
 func (r *Registry) Ended(name string, incarnation int64) bool {
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -19,8 +19,9 @@
 	// cold. Others may learn that up to PermitTerm later.
 	learningTime = grantSpan
 	// hearsayTerm is how long a keeper that learns only from requests that a target is cold
-	// relies on that. A request after a longer pause may be about another cold time.
-	hearsayTerm = 2 * grantSpan
+	// relies on that. A request after a longer pause may be about another cold time. Shorter
+	// terms would refuse most requests of a service with little traffic.
+	hearsayTerm = time.Minute
 	// keepers is the number of instances that may consider themselves the keeper of a
 	// target at a time.
 	keepers = 2
--- a/pkg/warmup/warmup_test.go
+++ b/pkg/warmup/warmup_test.go
@@ -19,7 +19,7 @@
 
 const (
 	tick  = 5 * time.Millisecond
-	start = time.Minute
+	start = 4 * time.Minute
 )
 
 // mostInOneSecond returns the largest number of the times, in order, within any second.
@@ -213,7 +213,7 @@
 		{
 			name: "by a request, after it was cold earlier",
 			learn: func(l *warmup.Limiter) {
-				for now := time.Second; now < start-5*time.Second; now += tick {
+				for now := time.Second; now < start-61*time.Second; now += tick {
 					l.Take(now, "desk-1", policy)
 				}
 			},
