gateway: count targets as cold that an impaired instance can't reach

When all targets of a service stopped together, instances excused the failures as lost links, and sent up to 229 requests in a second to one that had come back cold. A service that is impaired now has its unreached targets count as cold, until another instance reaches the service.

--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -111,6 +111,17 @@
 			},
 			want: "08011007180222046465736b2803580068b009",
 		},
+		{
+			name: "ask for a permit for a cold target",
+			m: decisionRequest{
+				Number: 8,
+				Kind:   targetLimit,
+				Name:   "desk-1",
+				Amount: 3700,
+				Cold:   true,
+			},
+			want: "08011008180322066465736b2d3128f41c58007001",
+		},
 		{
 			name: "ask for rate",
 			m: decisionRequest{
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -29,6 +29,17 @@
 				Over:   1200 * time.Millisecond,
 			},
 		},
+		{
+			name: "request for a permit for a cold target that names a limit",
+			m: decisionRequest{
+				Number:  10,
+				Kind:    targetLimit,
+				Name:    "desk-1",
+				Amount:  1100,
+				Cold:    true,
+				Limited: true,
+			},
+		},
 		{
 			name: "forwarded decision request",
 			m: decisionRequest{
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionmux/internal/boot"
+	"dandelionmux/pkg/link"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/target"
 	"dandelionmux/pkg/warmup"
@@ -145,19 +146,57 @@
 	}
 }
 
-// setUnreached records that a target could not be reached, by this instance or another one. The
-// caller must hold mu.
-func (st *localState) setUnreached(now time.Duration, service, name string, outcome target.Outcome) {
+// recordDoubt records a failure that doesn't count against its target. Unless another instance has
+// reached the target since, it may have come back cold all the same: an instance that reaches no
+// target can't tell whether its links were lost or all targets were down. The others aren't told,
+// because the cause may be here.
+func (g *Gateway) recordDoubt(f link.Failure[attemptReport]) {
+	r := f.Report
+	if f.Excuse == link.ReachedByOthers || f.Excuse == link.TargetRemoved || r.unsent || !isUnreached(r.outcome) {
+		return
+	}
+	g.state.withLock(func() { g.state.setUnreached(boot.Now(), r.service, r.target, r.outcome) })
+}
+
+// doubtTargets records that most targets of a service can't be connected to: unless another instance
+// reaches any, they may all be down and come back cold. The caller must hold mu.
+func (st *localState) doubtTargets(now time.Duration, service string) {
+	s := st.services[service]
 	p := st.warmUpPolicy(service)
-	if !p.Limits() || !st.targets.Has(name) || !st.warmUps.Unreached(now, name, p) {
+	if s == nil || !p.Limits() {
 		return
 	}
+	s.doubted = nil
+	for _, a := range s.table.Availabilities(now) {
+		if !st.links.Connected(service, a.Name) && st.setUnreached(now, service, a.Name, target.Refused) {
+			s.doubted = append(s.doubted, a.Name)
+		}
+	}
+}
+
+// withdrawDoubts ends what doubtTargets has recorded, because another instance reaches the service.
+// The caller must hold mu.
+func (st *localState) withdrawDoubts(s *service) {
+	for _, name := range s.doubted {
+		st.warmUps.Withdraw(name)
+	}
+	s.doubted = nil
+}
+
+// setUnreached records that a target could not be reached, by this instance or another one, and
+// reports whether it counts as cold since. The caller must hold mu.
+func (st *localState) setUnreached(now time.Duration, service, name string, outcome target.Outcome) bool {
+	p := st.warmUpPolicy(service)
+	if !p.Limits() || !st.targets.Has(name) || !st.warmUps.Unreached(now, name, p) {
+		return false
+	}
 	st.gateway.count("WarmUp.Unreached")
 	st.gateway.logger.Info("target counts as cold, it could not be reached",
 		slog.String("Service", service),
 		slog.String("Target", name),
 		slog.String("Outcome", outcome.String()),
 		slog.Float64("PerSecond", p.PerSecond))
+	return true
 }
 
 // recordReached records that an attempt was answered, and tells all instances if its target was
--- a/pkg/link/monitor.go
+++ b/pkg/link/monitor.go
@@ -500,6 +500,13 @@
 	return s != nil && s.contactBegan > 0 && s.contactBegan >= at
 }
 
+// Connected reports whether the last connection to a target, since its service has been
+// suspected, was established.
+func (m *Monitor[R]) Connected(name, target string) bool {
+	s := m.services[name]
+	return s != nil && s.results[target].connected
+}
+
 // Contacted returns the targets of a service that the instance has lately connected to. A
 // request goes to one of these if others couldn't be connected to.
 func (m *Monitor[R]) Contacted(now time.Duration, name string) []string {
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -715,3 +715,73 @@
 		})
 	}
 }
+
+// Guards against requests to targets in an evacuated zone, by whatever way a target is chosen.
+func TestEvacuatedTargetsAreNeverChosen(t *testing.T) {
+	const now = time.Minute
+	everyOther := func(zone string) bool { return zone != "a" }
+	tests := []struct {
+		name    string
+		request outlier.Request
+		observe func(*outlier.Table)
+	}{
+		{
+			name:    "first attempt",
+			observe: func(*outlier.Table) {},
+		},
+		{
+			name: "preferred targets",
+			request: outlier.Request{
+				Prefer: []string{"desk-01", "desk-02"},
+			},
+			observe: func(*outlier.Table) {},
+		},
+		{
+			name: "retry after all others were tried",
+			request: outlier.Request{
+				Avoid: []string{"desk-00", "desk-03"},
+			},
+			observe: func(*outlier.Table) {},
+		},
+		{
+			name: "all others were ejected",
+			request: outlier.Request{
+				Repeatable: true,
+			},
+			observe: func(t *outlier.Table) {
+				t.ReceiveOutcome(now, "desk-00", target.Crashed)
+				t.ReceiveOutcome(now, "desk-03", target.Crashed)
+			},
+		},
+		{
+			name: "probation",
+			request: outlier.Request{
+				Repeatable: true,
+			},
+			observe: func(t *outlier.Table) { t.ReceiveOutcome(now, "desk-01", target.Disconnected) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(6)
+			table.SetEvacuated(everyOther)
+			tt.observe(table)
+			for range 100 {
+				got, ok := table.Choose(now, tt.request)
+				is.True(ok)
+				is.Equal(got.Zone, "a")
+			}
+			is.True(!table.OnlyEvacuated())
+			is.Equal(table.Counts(now).Evacuated, 4)
+			is.Equal(len(table.Availabilities(now)), 2)
+			is.True(table.MaySend(now, "desk-00"))
+			is.True(!table.MaySend(now, "desk-01"))
+			table.SetEvacuated(func(string) bool { return true })
+			_, ok := table.Choose(now, tt.request)
+			is.True(!ok)
+			is.True(table.OnlyEvacuated())
+			is.True(!table.HasSpare(now, nil))
+		})
+	}
+}
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -135,6 +135,13 @@
 	})
 }
 
+// Withdraw takes back that a target could not be reached: the cause was not the target.
+func (l *Limiter) Withdraw(target string) {
+	if s := l.targets[target]; s != nil {
+		s.unreached = false
+	}
+}
+
 // Reached records that a target answered an attempt that began at a time. It reports whether the
 // target was reached again by that, so that the other instances should be told.
 func (l *Limiter) Reached(now time.Duration, target string, began time.Duration) bool {
--- a/pkg/warmup/warmup_test.go
+++ b/pkg/warmup/warmup_test.go
@@ -295,6 +295,14 @@
 			},
 			after: 11 * time.Second,
 		},
+		{
+			name:   "not reached because of the links",
+			policy: policy,
+			change: func(l *warmup.Limiter) {
+				l.Unreached(start, "desk-1", policy)
+				l.Withdraw("desk-1")
+			},
+		},
 		{
 			name:   "answer of an attempt that began before",
 			policy: policy,
