gateway: test that reports of unreached targets make them cold

The fleet tests have all instances meet the failure themselves. This one has an instance learn it from another one only, also from reports of earlier builds.

--- a/internal/gateway/warmup_internal_test.go
+++ b/internal/gateway/warmup_internal_test.go
@@ -238,3 +238,82 @@
 		})
 	}
 }
+
+// Guards against an instance that goes on sending without permits to a target that another one
+// could not reach, and against a change for services without a limit or because of reports that
+// say nothing of that.
+func TestFailureReportMakesTargetCold(t *testing.T) {
+	tests := []struct {
+		name    string
+		limited bool
+		report  failureReport
+		cold    bool
+	}{
+		{
+			name:    "not reached",
+			limited: true,
+			report: failureReport{
+				Outcome: target.Refused,
+			},
+			cold: true,
+		},
+		{
+			name:    "connection died, as earlier builds tell",
+			limited: true,
+			report: failureReport{
+				Outcome: target.Crashed,
+			},
+			cold: true,
+		},
+		{
+			name:    "kept connection died",
+			limited: true,
+			report: failureReport{
+				Outcome: target.Disconnected,
+			},
+			cold: true,
+		},
+		{
+			name:    "server error",
+			limited: true,
+			report: failureReport{
+				Outcome: target.Failed,
+			},
+		},
+		{
+			name:    "no answers",
+			limited: true,
+			report: failureReport{
+				Outcome:      target.TimedOut,
+				Unresponsive: true,
+			},
+		},
+		{
+			name: "no limit",
+			report: failureReport{
+				Outcome: target.Refused,
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newWarmUpGateway(tt.limited)
+			g.state.services["desk"].unresponsiveReportAt = map[string]time.Duration{}
+			tt.report.Service, tt.report.Target = "desk", "desk-1"
+			g.handleFailureReport("10.0.0.2:7340", tt.report)
+			p := g.state.warmUpPolicy("desk")
+			is.Equal(g.state.warmUps.Cold(boot.Now(), "desk-1", p), tt.cold)
+			// An attempt that began after that was answered, by another instance.
+			time.Sleep(2 * reportTimeError)
+			g.handleFailureReport("10.0.0.2:7340", failureReport{
+				Service: "desk",
+				Target:  "desk-1",
+				Outcome: target.Succeeded,
+				Age:     time.Millisecond,
+			})
+			is.Equal(g.state.warmUps.Cold(boot.Now()+p.Duration-time.Second, "desk-1", p), tt.cold)
+			is.True(!g.state.warmUps.Cold(boot.Now()+p.Duration+time.Second, "desk-1", p))
+		})
+	}
+}
