Grants of the outlier table, capable keepers, and messages about slots

An allocator needs a choice that compares all targets of its zone and is counted at once, a rank among the members that can allocate, and messages to ask for, grant and release slots. The sum of the other instances' loads is kept until it changes, since a grant reads it for all targets.

--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -15,8 +15,8 @@
 )
 
 // message is a datagram between instances: a decisionRequest, decisionResponse,
-// failureReport, loanRequests, loanOffers, loadReport, retryReport, limitReport, linkReport
-// or leavingReport.
+// failureReport, loanRequests, loanOffers, loadReport, retryReport, limitReport, linkReport,
+// leavingReport, slotRequest, slotResponse, slotRelease or zoneLoadReport.
 type message interface{ message() }
 
 // decisionRequest asks a keeper for units of an organisation's rate, for a retry from a
@@ -215,6 +215,10 @@
 	limitReportType
 	linkReportType
 	leavingReportType
+	slotRequestType
+	slotResponseType
+	slotReleaseType
+	zoneLoadType
 )
 
 // Field numbers of datagrams and their items. Some are reused: fieldService also holds an
@@ -239,7 +243,10 @@
 	fieldItem
 	fieldOver
 	fieldUnreached
-	lastField = fieldUnreached
+	// fieldBody holds the fields of messages about slots, which have numbers of their own:
+	// every decoded item has room for all fields up to lastField.
+	fieldBody
+	lastField = fieldBody
 )
 
 // partsPerMillion is the factor by which a fraction is multiplied to be sent as an
@@ -348,7 +355,7 @@
 	case leavingReport:
 		return encodeLeavingReport(m)
 	}
-	return nil
+	return encodeSlotMessage(m)
 }
 
 // wireLimit returns a limit in requests per 1000 s.
@@ -486,6 +493,14 @@
 		return f.linkReport(), nil
 	case leavingReportType:
 		return f.leavingReport(), nil
+	case slotRequestType:
+		return decodeSlotRequest(f.texts[fieldBody])
+	case slotResponseType:
+		return decodeSlotResponse(f.texts[fieldBody])
+	case slotReleaseType:
+		return decodeSlotRelease(f.texts[fieldBody])
+	case zoneLoadType:
+		return decodeZoneLoad(f.texts[fieldBody])
 	}
 	return nil, errors.Wrapf(errMalformed, "unknown type %d", f.numbers[fieldType])
 }
--- a/pkg/document/index.go
+++ b/pkg/document/index.go
@@ -117,6 +117,17 @@
 	return ok
 }
 
+// Priority returns the priority of an organisation's requests on a route: the organisation's
+// own if it is set, else the route's.
+func (x *Index) Priority(organisation string, r *Route) int {
+	if i, ok := x.organisations[organisation]; ok {
+		if own := x.document.Organisations[i].Priority; own != nil {
+			return *own
+		}
+	}
+	return r.Priority
+}
+
 // Rate returns the rate of an organisation, and false if it has none.
 func (x *Index) Rate(organisation string) (Rate, bool) {
 	i, ok := x.rates[organisation]
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -103,6 +103,14 @@
 	reported int
 	// peerLoads is the load that other instances reported, by instance.
 	peerLoads map[string]peerLoad
+	// remote holds the slots granted to instances of other zones.
+	remote []remoteGrant
+	// others is the sum of peerLoads and remote from othersFrom until othersUntil. recount is
+	// set if they have changed since.
+	others      int
+	othersFrom  time.Duration
+	othersUntil time.Duration
+	recount     bool
 	// ejectedUntil is the end of the ejection and probationUntil the end of the
 	// probation, which follows an ejection or a suspicion. successes counts the successes during the probation.
 	ejectedUntil   time.Duration
@@ -156,6 +164,10 @@
 	Repeatable bool
 	// Avoid holds the names of targets that were already tried.
 	Avoid []string
+	// Unfit holds the names of further targets that are not to be chosen.
+	Unfit []string
+	// OwnZone is set if only targets of the table's own zone are of use.
+	OwnZone bool
 	// Prefer holds the names of targets that are chosen before others, wherever they are.
 	Prefer []string
 	// Spare is set if the request is worth sending only to a sound target that has at most
@@ -198,6 +210,7 @@
 			}
 		}
 		maps.DeleteFunc(s.peerLoads, func(_ string, p peerLoad) bool { return now >= p.expires })
+		s.recount = true
 		s.Target = r.Target
 		s.warmUntil = now + r.WarmupRemaining
 		t.targets[r.Target.Name] = s
@@ -235,11 +248,12 @@
 	var healthy, onProbation, degraded, ejected []*targetState
 	all := 0
 	for _, s := range t.order {
-		if s.Leaving {
+		if s.Leaving || r.OwnZone && s.Zone != t.zone {
 			continue
 		}
 		all++
 		switch {
+		case slices.Contains(r.Unfit, s.Name):
 		case r.Spare && spareSlotFactor*(s.inUse(now)+1) > s.Slots:
 		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
@@ -393,13 +407,7 @@
 // inUse returns the number of requests in flight at the target, including those
 // that other instances have reported.
 func (s *targetState) inUse(now time.Duration) int {
-	all := s.running
-	for _, p := range s.peerLoads {
-		if now < p.expires {
-			all += p.running
-		}
-	}
-	return all
+	return s.running + s.countOthers(now)
 }
 
 // load returns the fraction of the target's slots that would be in use with one
@@ -438,17 +446,10 @@
 		return
 	}
 	t.addEvidence(s, l.Evidence)
-	if s.peerLoads == nil {
-		s.peerLoads = map[string]peerLoad{}
-	}
-	if l.Running <= 0 {
-		delete(s.peerLoads, from)
-		return
-	}
-	s.peerLoads[from] = peerLoad{
+	s.setPeerLoad(from, peerLoad{
 		running: l.Running,
 		expires: now + term,
-	}
+	})
 }
 
 // Done records the end of a request at a target. It reports whether the outcome
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -13,6 +13,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -109,6 +110,16 @@
 	return highestRanked(key(kind, name), r.members, func(instance.Address) bool { return false })
 }
 
+// CapableKeeper returns the member of a zone that is responsible for the rate, budget or
+// message of this kind and name, among those that isCapable selects. It is empty if there is
+// none: unlike with ZoneKeeper, nobody stands in for them.
+func (r *Roster) CapableKeeper(zone, kind, name string, isCapable func(instance.Address) bool) instance.Address {
+	return highestCapable(key(kind, name), r.zones[zone], isCapable)
+}
+
+// ZoneNames returns the names of the zones that have members, in order.
+func (r *Roster) ZoneNames() []string { return slices.Sorted(maps.Keys(r.zones)) }
+
 // RemoteKeepers returns the members of the other zones, one for each zone, that are
 // responsible there for the rate, budget or message of this kind and name.
 func (r *Roster) RemoteKeepers(kind, name string, unresponsive func(instance.Address) bool) []instance.Address {
@@ -128,6 +139,22 @@
 // key returns the hash that members are ranked by for the item.
 func key(kind, name string) uint64 { return instance.Hash(kind, xxhash.Sum64String(name)) }
 
+// highestCapable returns the member with the highest score among those that isCapable
+// selects, or none.
+func highestCapable(key uint64, members []instance.Info, isCapable func(instance.Address) bool) instance.Address {
+	var best instance.Address
+	var bestScore uint64
+	for _, m := range members {
+		if !isCapable(m.Address) {
+			continue
+		}
+		if score := instance.Score(key, m.Address); best == "" || score > bestScore {
+			best, bestScore = m.Address, score
+		}
+	}
+	return best
+}
+
 // highestRanked returns the member with the highest score that isn't unresponsive, or
 // the one with the highest score of all if all are unresponsive.
 func highestRanked(key uint64, members []instance.Info, unresponsive func(instance.Address) bool) instance.Address {
