Slots are granted by an allocator in each zone

Load reports of large zones are older than the requests that they count, so that the busiest target got up to twice the mean. An instance now asks its zone's allocator for a slot before each attempt of a service with small targets, waits there if none is free, and releases it at the end. It chooses for itself as before if nobody answers. A load report doesn't replace a count that a grant or release has just changed. Requests do not leave their zone yet.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -57,6 +57,8 @@
 	countingSince time.Duration
 	// retryRefusedAt is when a retry was last refused.
 	retryRefusedAt time.Duration
+	// allocation is set once this instance has been asked for a slot of the service.
+	allocation *allocation
 }
 
 // retriesAreScarce reports whether a retry has been refused lately.
@@ -75,9 +77,9 @@
 		if g.stopsBefore(request) {
 			return nil, entry.StoppingRefusal()
 		}
-		acquired, limit := g.choose(request)
-		if acquired == nil {
-			return nil, g.noTarget(ctx, request)
+		acquired, limit, err := g.obtain(ctx, request)
+		if err != nil {
+			return nil, err
 		}
 		if limit.Kind != meter.Limited {
 			acquired.start()
@@ -96,6 +98,22 @@
 	}
 }
 
+// obtain returns a slot that its service's allocator has granted, or one that this instance has
+// chosen if it decides for itself.
+func (g *Gateway) obtain(ctx context.Context, request entry.SlotRequest) (*slot, meter.TargetLimit, error) {
+	switch o := g.allocate(ctx, request).(type) {
+	case slotObtained:
+		return o.slot, o.limit, nil
+	case slotDenied:
+		return nil, meter.TargetLimit{}, o.err
+	}
+	acquired, limit := g.choose(request)
+	if acquired == nil {
+		return nil, meter.TargetLimit{}, g.noTarget(ctx, request)
+	}
+	return acquired, limit, nil
+}
+
 // stopsBefore reports whether the instance stops before an attempt that begins now is likely to be
 // answered.
 func (g *Gateway) stopsBefore(request entry.SlotRequest) bool {
@@ -135,8 +153,14 @@
 	if !ok {
 		return nil, meter.TargetLimit{}
 	}
+	return st.newSlot(now, s, request, chosen)
+}
+
+// newSlot returns a slot at a target that was chosen or granted, and the target's limit. The
+// caller must hold mu.
+func (st *localState) newSlot(now time.Duration, s *service, request entry.SlotRequest, chosen document.Target) (*slot, meter.TargetLimit) {
 	acquired := &slot{
-		gateway:         g,
+		gateway:         st.gateway,
 		service:         request.Service,
 		route:           request.Route.Name,
 		target:          chosen,
@@ -319,6 +343,8 @@
 	// inUse is the number of requests running at the target at that time, including
 	// this one.
 	inUse int
+	// grant is the allocator's, or nil if this instance chose the target.
+	grant *slotGrant
 }
 
 // start counts the attempt and begins to wait for its answer.
@@ -348,11 +374,12 @@
 			s.table.Hold(boot.Now()+hold, sl.target.Name)
 		}
 	})
+	sl.releaseGrant(hold)
 }
 
 // ChoiceAttrs implements entry.Explainer.
 func (sl *slot) ChoiceAttrs() []slog.Attr {
-	return []slog.Attr{
+	return append([]slog.Attr{
 		slog.String("Zone", sl.target.Zone),
 		slog.Int("InUse", sl.inUse),
 		slog.Int("Sound", sl.targetCounts.Healthy),
@@ -360,7 +387,7 @@
 		slog.Int("Out", sl.targetCounts.Unavailable),
 		slog.Int("Lost", sl.targetCounts.Lost),
 		slog.Duration("Patience", sl.responseTimeout),
-	}
+	}, sl.grantAttrs()...)
 }
 
 // Target implements entry.Slot.
@@ -443,6 +470,7 @@
 			}
 		}
 	})
+	sl.releaseGrant(0)
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
@@ -631,15 +659,18 @@
 func (g *Gateway) handleLoadReport(from instance.Address, m loadReport) {
 	now := boot.Now()
 	st := g.state
+	var out []outgoing
 	st.withLock(func() {
 		st.ages.Report(now, from, m.Age)
 		lifetime := loadReportLifetimePeriods * st.loadReportPeriod()
 		for _, load := range m.Loads {
 			if s := st.services[load.Service]; s != nil {
 				s.table.ReceiveLoad(now, string(from), load.Load, lifetime)
+				out = append(out, st.serveWaiting(now, s)...)
 			}
 		}
 	})
+	g.post(out...)
 }
 
 // handleRetryReport counts the retries that another instance of the zone has granted.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+
+	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/mirror"
 	"dandelionmux/pkg/store"
 )
@@ -29,3 +32,36 @@
 
 // Reading reports whether the instance reads the store for its zone.
 func (g *Gateway) Reading() bool { return g.readingStore.Load() }
+
+// WithAllocation has slots allocated in zones with at least so many members, for targets with at
+// most so many slots.
+func WithAllocation(minMembers, maxSlots int) Option {
+	return func(g *Gateway) {
+		g.allocation = allocationBounds{
+			minMembers: minMembers,
+			maxSlots:   maxSlots,
+		}
+	}
+}
+
+// WithoutAllocating has the instance grant no slots, like an older build.
+func WithoutAllocating() Option {
+	return func(g *Gateway) { g.allocates = false }
+}
+
+// WithLostMessages drops the datagrams whose kind and receiver f selects.
+func WithLostMessages(f func(kind, to string) bool) Option {
+	return func(g *Gateway) {
+		g.loses = func(to instance.Address, m message) bool {
+			return f(fmt.Sprintf("%T", m), string(to))
+		}
+	}
+}
+
+// Allocator returns the address of the instance that grants slots of a service in the instance's
+// zone.
+func (g *Gateway) Allocator(service string) string {
+	var a instance.Address
+	g.state.withLock(func() { a = g.state.allocatorIn(g.self.Zone, service) })
+	return string(a)
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -261,7 +261,7 @@
 }
 
 // configuration is the operators' configuration in a form of this test. Path leads to the
-// service desk, and /mill to the service mill.
+// service desk, as /later does for less urgent requests, and /mill to the service mill.
 type configuration struct {
 	Revision uint64
 	Keys     []string
@@ -336,7 +336,7 @@
 }
 
 // startInstance starts an instance with its own store client.
-func (f *testFleet) startInstance(zone string) {
+func (f *testFleet) startInstance(zone string, options ...gateway.Option) {
 	f.t.Helper()
 	d := &storeClient{
 		memory: f.memory,
@@ -363,8 +363,10 @@
 		TargetPrefix:        targetPrefix,
 		DecodeConfiguration: parseConfiguration,
 		DecodeTarget:        parseTarget,
-	}, gateway.WithLogger(slog.New(slog.NewTextHandler(f.log, nil)).With(slog.Int("Instance", len(f.instances)))),
-		gateway.WithTargetDialer(links.dial))
+	}, append([]gateway.Option{
+		gateway.WithLogger(slog.New(slog.NewTextHandler(f.log, nil)).With(slog.Int("Instance", len(f.instances)))),
+		gateway.WithTargetDialer(links.dial),
+	}, options...)...)
 	is.New(f.t).NoErr(err)
 	f.t.Cleanup(g.Close)
 	f.clients = append(f.clients, d)
@@ -391,12 +393,15 @@
 			},
 		}
 	}
+	later := route("later", "/later", "desk")
+	later.Priority = 2
 	d := document.Document{
 		Revision: c.Revision,
 		Policy:   document.DefaultPolicy(),
 		Routes: []document.Route{
 			route("route", c.Path, "desk"),
 			route("mill", "/mill", "mill"),
+			later,
 		},
 		Organisations: []document.Organisation{{
 			Name: "orchard",
@@ -418,7 +423,8 @@
 // failingValue is a value on which the decoders fail unexpectedly.
 const failingValue = "fail"
 
-// parseTarget decodes "IP:port", or "IP:port N" for the run with the incarnation N.
+// parseTarget decodes "IP:port", "IP:port N" for the run with the incarnation N, or
+// "IP:port N ZONE SLOTS".
 func parseTarget(key string, value []byte) (target.Registration, error) {
 	address, text, _ := strings.Cut(string(value), " ")
 	if address == failingValue {
@@ -427,6 +433,11 @@
 	if !strings.Contains(address, ":") {
 		return target.Registration{}, errors.Errorf("%s: no address", key)
 	}
+	zone, slots := "a", 6
+	if parts := strings.Fields(text); len(parts) == 3 {
+		text, zone = parts[0], parts[1]
+		slots, _ = strconv.Atoi(parts[2])
+	}
 	incarnation, _ := strconv.ParseInt(text, 10, 64)
 	name := strings.TrimPrefix(key, targetPrefix)
 	service, _, _ := strings.Cut(name, "-")
@@ -435,8 +446,8 @@
 		Target: document.Target{
 			Name:    name,
 			Address: address,
-			Zone:    "a",
-			Slots:   6,
+			Zone:    zone,
+			Slots:   slots,
 		},
 		Incarnation: incarnation,
 	}, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,17 @@
 	// discovery is how this run has learnt the members.
 	discovery *discovery
 	pending   *pendingRequests
-	snapshot  atomic.Pointer[entry.Snapshot]
-	leaving   atomic.Bool
+	// asks are this instance's requests for slots, allocation says for which services there are
+	// any, and allocates whether the instance grants slots. allocatorWake tells that requests
+	// wait for slots here.
+	asks          *pendingSlots
+	allocation    allocationBounds
+	allocates     bool
+	allocatorWake chan struct{}
+	// loses drops datagrams in tests; nil if there is no such test.
+	loses    func(to instance.Address, m message) bool
+	snapshot atomic.Pointer[entry.Snapshot]
+	leaving  atomic.Bool
 	// readingStore is set while the instance reads the store for its zone.
 	readingStore atomic.Bool
 	// relist is set when the store is to be listed anew because of a difference.
@@ -126,9 +135,16 @@
 		},
 		dialTarget: new(net.Dialer).DialContext,
 		pending:    newPendingRequests(),
-		discovery:  newDiscovery(),
-		unsaved:    make(chan quarantine.Fingerprint, maxUnsavedEntries),
-		peerClient: newPeerClient(),
+		asks:       newPendingSlots(),
+		allocation: allocationBounds{
+			minMembers: minAllocatedMembers,
+			maxSlots:   maxAllocatedSlots,
+		},
+		allocates:     true,
+		allocatorWake: make(chan struct{}, 1),
+		discovery:     newDiscovery(),
+		unsaved:       make(chan quarantine.Fingerprint, maxUnsavedEntries),
+		peerClient:    newPeerClient(),
 	}
 	for _, o := range options {
 		o(g)
@@ -239,6 +255,7 @@
 	g.goLoop(membership, g.keepMembership)
 	g.goLoop(ctx, g.tick)
 	g.goLoop(ctx, g.saveQuarantines)
+	g.goLoop(ctx, g.runAllocator)
 	g.logger.Info("started",
 		slog.String("Instance", g.settings.Name),
 		slog.String("Build", g.settings.Build),
@@ -328,6 +345,9 @@
 		case <-ticker.C:
 		}
 		g.contain(func() { g.state.expire(boot.Now()) })
+		if n%claimExpiryTicks == 0 {
+			g.contain(func() { g.state.withLock(func() { g.state.expireClaims(boot.Now()) }) })
+		}
 		if n%loanRequestTicks == 0 {
 			g.contain(g.sendLoanRequests)
 		}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -71,6 +71,7 @@
 		Incarnation: g.self.Incarnation,
 		Capacity:    g.settings.Capacity,
 		Build:       g.settings.Build,
+		Allocates:   g.allocates,
 	})
 	if err != nil {
 		return registration{}, errors.Wrap(err, "encode member")
--- a/internal/gateway/network.go
+++ b/internal/gateway/network.go
@@ -31,6 +31,9 @@
 // send sends a message as one datagram. A datagram may be lost in any case, so a
 // failure is only counted and logged.
 func (g *Gateway) send(to instance.Address, m message) {
+	if g.loses != nil && g.loses(to, m) {
+		return
+	}
 	peerAddress, err := netip.ParseAddrPort(string(to))
 	if err == nil {
 		_, err = g.datagrams.WriteToUDPAddrPort(encode(m), peerAddress)
@@ -91,5 +94,7 @@
 		g.handleLeavingReport(from, m)
 	case retryReport:
 		g.handleRetryReport(from, m)
+	case slotRequest, slotResponse, slotRelease, zoneLoadReport:
+		g.handleSlotMessage(from, m)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,6 +54,10 @@
 			"Targets.%[1]s.Unavailable %[4]d\nTargets.%[1]s.Held %[5]d\nTargets.%[1]s.Resting %[6]d\nTargets.%[1]s.Leaving %[7]d\n",
 			s.service, s.Healthy, s.OnProbation, s.Unavailable, s.Held, s.Resting, s.Leaving)
 	}
+	for _, s := range g.state.slotCounts(boot.Now()) {
+		_, _ = fmt.Fprintf(w, "Allocation.%[1]s.Slots %[2]d\nAllocation.%[1]s.InUse %[3]d\nAllocation.%[1]s.Waiting %[4]d\n",
+			s.service, s.Slots, s.InUse, s.waiting)
+	}
 	g.registry.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -103,6 +103,10 @@
 	// store rejects must go on keeping rates, since two keepers of one rate would grant
 	// more than the rate.
 	unresponsiveUntil map[instance.Address]time.Duration
+	// silentAllocators holds the allocators that did not answer, with the time until which each
+	// is skipped.
+	silentAllocators map[instance.Address]time.Duration
+	allocator        allocator
 	// source chooses from where this instance gets the store's content.
 	source *source.Chooser
 	// publishedTrust is the time of trust that was last published.
@@ -150,6 +154,8 @@
 	capacity float64
 	// build is the build that the member runs; empty if it doesn't tell.
 	build string
+	// allocates is set if the member's build can grant slots.
+	allocates bool
 	// expiresAt is when a member that was removed around a store outage is dropped. It
 	// is zero for a member that is registered.
 	expiresAt time.Duration
@@ -164,6 +170,7 @@
 	Incarnation uint64
 	Capacity    float64 `json:",omitempty"`
 	Build       string  `json:",omitempty"`
+	Allocates   bool    `json:",omitempty"`
 }
 
 // decodeMember returns the member that is registered under a key.
@@ -184,8 +191,9 @@
 			},
 			Zone: v.Zone,
 		},
-		capacity: v.Capacity,
-		build:    v.Build,
+		capacity:  v.Capacity,
+		build:     v.Build,
+		allocates: v.Allocates,
 	}, nil
 }
 
@@ -229,6 +237,8 @@
 		helpers:           link.NewHelpers(),
 		formerUntil:       map[string]time.Duration{},
 		unresponsiveUntil: map[instance.Address]time.Duration{},
+		silentAllocators:  map[instance.Address]time.Duration{},
+		allocator:         newAllocator(),
 		source:            source.New(g.self),
 		mirrorChanged:     make(chan struct{}),
 		lastDatagramAt:    map[instance.Address]time.Duration{},
--- a/pkg/outlier/grant.go
+++ b/pkg/outlier/grant.go
@@ -8,6 +8,10 @@
 	"dandelionmux/pkg/document"
 )
 
+// reportLag is how long a load report may be on its way. The instance that sends it may stall for
+// 100 ms once it has used up its processor time.
+const reportLag = 100 * time.Millisecond
+
 // Grantee is the instance that a target is granted to.
 type Grantee struct {
 	// Instance is the instance's address; empty for the table's own instance, whose requests
@@ -55,8 +59,9 @@
 			counted.running = 0
 		}
 		s.setPeerLoad(to.Instance, peerLoad{
-			running: counted.running + 1,
-			expires: max(counted.expires, now+to.Term),
+			running:   counted.running + 1,
+			expires:   max(counted.expires, now+to.Term),
+			changedAt: now,
 		})
 	}
 	s.recount = true
@@ -88,7 +93,7 @@
 }
 
 // Ungrant takes back a grant, or ends a request that ran with one at another instance.
-func (t *Table) Ungrant(to Grantee, name string) {
+func (t *Table) Ungrant(now time.Duration, to Grantee, name string) {
 	s := t.targets[name]
 	if s == nil {
 		return
@@ -106,7 +111,10 @@
 		}
 	default:
 		if counted, ok := s.peerLoads[to.Instance]; ok {
-			counted.running--
+			// It stays known for a while that the slot is free, see receiveLoad.
+			counted.running = max(counted.running-1, 0)
+			counted.expires = max(counted.expires, now+reportLag)
+			counted.changedAt = now
 			s.setPeerLoad(to.Instance, counted)
 		}
 	}
@@ -150,13 +158,7 @@
 }
 
 // MaxSlots returns the largest number of slots of a target, in any zone.
-func (t *Table) MaxSlots() int {
-	most := 0
-	for _, s := range t.order {
-		most = max(most, s.Slots)
-	}
-	return most
-}
+func (t *Table) MaxSlots() int { return t.maxSlots }
 
 // Room is the capacity of the targets of the own zone.
 type Room struct {
@@ -184,13 +186,26 @@
 	return room
 }
 
-// setPeerLoad records the load of another instance.
-func (s *targetState) setPeerLoad(from string, load peerLoad) {
-	s.recount = true
-	if load.running <= 0 {
+// receiveLoad records the load that another instance has reported. A report doesn't replace a
+// count that a grant or a release has changed within reportLag, since it may have been made
+// before: the slot would be granted twice, or be idle until the next report.
+func (s *targetState) receiveLoad(now time.Duration, from string, load peerLoad) {
+	counted, ok := s.peerLoads[from]
+	switch {
+	case ok && counted.changedAt > 0 && now < counted.changedAt+reportLag:
+		counted.expires = max(counted.expires, load.expires)
+		s.setPeerLoad(from, counted)
+	case load.running <= 0:
+		s.recount = true
 		delete(s.peerLoads, from)
-		return
+	default:
+		s.setPeerLoad(from, load)
 	}
+}
+
+// setPeerLoad sets the load of another instance.
+func (s *targetState) setPeerLoad(from string, load peerLoad) {
+	s.recount = true
 	if s.peerLoads == nil {
 		s.peerLoads = map[string]peerLoad{}
 	}
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -68,6 +68,8 @@
 	// order holds the targets sorted by name, so that choices are reproducible under a
 	// fixed seed.
 	order []*targetState
+	// maxSlots is the largest number of slots of a target.
+	maxSlots int
 	// errors holds the server errors and truncated answers that this instance saw, and
 	// those and the timeouts that others reported, within errorWindow, oldest first. Those
 	// of targets that were ejected meanwhile are included.
@@ -147,6 +149,8 @@
 type peerLoad struct {
 	running int
 	expires time.Duration
+	// changedAt is when a grant or a release last changed it; zero if a report did.
+	changedAt time.Duration
 }
 
 // Load is the number of requests that an instance has in flight at a target, and what it has
@@ -200,7 +204,7 @@
 		}
 	}
 	t.targets = make(map[string]*targetState, len(list))
-	t.order = t.order[:0]
+	t.order, t.maxSlots = t.order[:0], 0
 	for _, r := range list {
 		s := old[r.Target.Name]
 		if s == nil || s.Address != r.Target.Address {
@@ -215,6 +219,7 @@
 		s.warmUntil = now + r.WarmupRemaining
 		t.targets[r.Target.Name] = s
 		t.order = append(t.order, s)
+		t.maxSlots = max(t.maxSlots, s.Slots)
 	}
 	slices.SortFunc(t.order, func(a, b *targetState) int { return cmp.Compare(a.Name, b.Name) })
 }
@@ -446,7 +451,7 @@
 		return
 	}
 	t.addEvidence(s, l.Evidence)
-	s.setPeerLoad(from, peerLoad{
+	s.receiveLoad(now, from, peerLoad{
 		running: l.Running,
 		expires: now + term,
 	})
