Requests wait at the allocator by urgency, and leave their zone if that serves them sooner

Allocators tell each other the load of their zones; a request that another zone serves sooner is forwarded there once, and the slot is granted directly to the instance that waits.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -173,7 +173,7 @@
 // handleSlotResponse passes an answer on to the request that waits for it. A slot that nobody
 // waits for any more is released at once.
 func (g *Gateway) handleSlotResponse(from instance.Address, m slotResponse) {
-	if m.Origin != "" && m.Origin != g.self.Address {
+	if m.Origin != "" {
 		g.handleDecline(m)
 		return
 	}
@@ -263,7 +263,7 @@
 			Beside:       request.Beside,
 			Tried:        slices.Clone(request.TriedTargets),
 			Unfit:        s.table.Unfit(now, maxUnfitTargets),
-			Expected:     s.latencies.Expected(request.Route.Name, request.Route.Objective),
+			Expected:     s.latencies.Mean(request.Route.Name),
 			Objective:    request.Route.Objective,
 		},
 		began:   now,
--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -73,23 +74,23 @@
 
 // allocation is the part of an allocator for one service. It is guarded by localState.mu.
 type allocation struct {
-	queue   *slotqueue.Queue[*slotClaim]
-	returns *slotqueue.Returns
-	// forwarded holds the requests about which other zones were asked.
-	forwarded map[*slotClaim]struct{}
+	queue *slotqueue.Queue[*slotClaim]
+	// pending holds the requests that wait, in the queue or for the answer of another zone.
+	pending map[*slotClaim]struct{}
 	// slotTime is the mean time for which a slot is used; zero before the first release.
 	slotTime time.Duration
 	// requestedAt is when a slot was last asked for.
 	requestedAt time.Duration
+	// reportedAt is when the other zones' allocators last got a report.
+	reportedAt time.Duration
 }
 
 // allocated returns the service's part of the allocator, which begins with its first use.
 func (s *service) allocated() *allocation {
 	if s.allocation == nil {
 		s.allocation = &allocation{
-			queue:     slotqueue.New[*slotClaim](),
-			returns:   slotqueue.NewReturns(),
-			forwarded: map[*slotClaim]struct{}{},
+			queue:   slotqueue.New[*slotClaim](),
+			pending: map[*slotClaim]struct{}{},
 		}
 	}
 	return s.allocation
@@ -97,7 +98,7 @@
 
 // isBusy reports whether requests wait for a slot of the service here.
 func (s *service) isBusy() bool {
-	return s.allocation != nil && (s.allocation.queue.Len() > 0 || len(s.allocation.forwarded) > 0)
+	return s.allocation != nil && len(s.allocation.pending) > 0
 }
 
 // rankName names a rank in counters.
@@ -204,7 +205,7 @@
 	case claimForwarded:
 		return []outgoing{c.waiting(c.forwardedUntil - now)}
 	default:
-		return []outgoing{c.waiting(s.allocation.queue.Expect(now, c.entry(now), s.capacity(now, c)))}
+		return []outgoing{c.waiting(s.allocation.queue.Expect(now, c.entry(), s.capacity(now, c)))}
 	}
 }
 
@@ -222,6 +223,7 @@
 		return false
 	}
 	c.state, c.target, c.grantedAt = claimGranted, chosen.Name, now
+	delete(s.allocation.pending, c)
 	st.allocator.claims[c.key] = c
 	return true
 }
@@ -240,7 +242,7 @@
 }
 
 // entry returns the request as it waits for a slot.
-func (c *slotClaim) entry(now time.Duration) slotqueue.Entry[*slotClaim] {
+func (c *slotClaim) entry() slotqueue.Entry[*slotClaim] {
 	return slotqueue.Entry[*slotClaim]{
 		ID:           c.id,
 		Rank:         c.request.Rank,
@@ -252,12 +254,12 @@
 }
 
 // enqueue has a request wait for a slot, or refuses it. A zone that has no usable target, and
-// that knows of no other zone's allocator, leaves the choice to the instance that asks. The
+// that hears of no other zone's allocator, leaves the choice to the instance that asks. The
 // caller must hold mu.
 func (st *localState) enqueue(now time.Duration, s *service, c *slotClaim) []outgoing {
 	al := s.allocated()
 	capacity := s.capacity(now, c)
-	if capacity.Slots == 0 && len(st.zoneStates(now, s.name)) == 0 {
+	if capacity.Slots == 0 && !st.hearsZones(now, s.name) {
 		delete(st.allocator.claims, c.key)
 		return decline(c.key.origin, slotRequest{
 			Number: c.request.Number,
@@ -265,9 +267,10 @@
 	}
 	st.allocator.lastID++
 	c.id, c.state = st.allocator.lastID, claimWaiting
-	switch v := al.queue.Offer(now, c.entry(now), capacity).(type) {
+	switch v := al.queue.Offer(now, c.entry(), capacity).(type) {
 	case slotqueue.Waits:
 		st.allocator.claims[c.key] = c
+		al.pending[c] = struct{}{}
 		return []outgoing{c.waiting(v.Expected)}
 	case slotqueue.Refused:
 		return []outgoing{st.refuse(now, s, c, v)}
@@ -277,17 +280,11 @@
 
 // refuse refuses a request that can't be served in time. The caller must hold mu.
 func (st *localState) refuse(now time.Duration, s *service, c *slotClaim, v slotqueue.Refused) outgoing {
-	delete(st.allocator.claims, c.key)
 	al := s.allocation
+	delete(st.allocator.claims, c.key)
+	delete(al.pending, c)
 	capacity := s.capacity(now, c)
-	expected := al.queue.Expect(now, c.entry(now), capacity)
-	if v.RetryAfter == 0 {
-		perSecond := 0.0
-		if capacity.ServiceTime > 0 {
-			perSecond = float64(capacity.Slots) / capacity.ServiceTime.Seconds()
-		}
-		v.RetryAfter = al.returns.Schedule(now, c.request.Rank, c.deadline-now, al.queue.Len(), perSecond)
-	}
+	expected := al.queue.Expect(now, c.entry(), capacity)
 	st.gateway.logger.Info("slot refused",
 		slog.String("Service", s.name),
 		slog.String("Instance", string(c.key.origin)),
@@ -360,8 +357,11 @@
 	switch c.state {
 	case claimWaiting:
 		s.allocation.queue.Remove(c.id)
+		delete(s.allocation.pending, c)
 	case claimForwarded:
-		delete(s.allocation.forwarded, c)
+		// The instance has got a slot there, or the caller has left.
+		st.zoneLoads.Accepted(now, s.name, c.zone)
+		delete(s.allocation.pending, c)
 	case claimGranted:
 		if !m.uncounted {
 			s.table.Ungrant(now, st.grantee(from, 0, c.remote), c.target)
@@ -398,31 +398,19 @@
 		if !ok {
 			break
 		}
-		switch c := e.Value; {
-		case now >= c.deadline:
-			out = append(out, st.refuse(now, s, c, slotqueue.Refused{}))
-		case st.grant(now, s, c):
-			out = append(out, c.granted())
-		default:
-			passedOver = append(passedOver, e)
-			if len(c.request.Tried)+len(c.request.Unfit) == 0 {
-				// It could have used any free slot.
-				queue.PutBack(now, e)
-				passedOver = passedOver[:len(passedOver)-1]
-				st.putBack(now, s, passedOver)
-				return out
-			}
+		if st.grant(now, s, e.Value) {
+			out = append(out, e.Value.granted())
+			continue
+		}
+		passedOver = append(passedOver, e)
+		if len(e.Value.request.Tried)+len(e.Value.request.Unfit) == 0 {
+			break // it could have used any free slot
 		}
 	}
-	st.putBack(now, s, passedOver)
-	return out
-}
-
-// putBack returns requests to the queue, the last taken first. The caller must hold mu.
-func (st *localState) putBack(now time.Duration, s *service, list []slotqueue.Entry[*slotClaim]) {
-	for i := len(list) - 1; i >= 0; i-- {
-		s.allocation.queue.PutBack(now, list[i])
+	for _, e := range slices.Backward(passedOver) {
+		queue.PutBack(now, e)
 	}
+	return out
 }
 
 // wakeAllocator has runAllocator look at the requests that wait.
@@ -462,9 +450,7 @@
 			}
 			out = append(out, st.endForwards(now, s)...)
 			out = append(out, st.serveWaiting(now, s)...)
-			for _, e := range s.allocation.queue.Expire(now, s.capacity(now, nil)) {
-				out = append(out, st.refuse(now, s, e.Value, slotqueue.Refused{}))
-			}
+			out = append(out, st.refuseExpired(now, s)...)
 			out = append(out, st.forwardWaiting(now, s)...)
 			busy = busy || s.isBusy()
 		}
@@ -473,6 +459,19 @@
 	return busy
 }
 
+// refuseExpired refuses the requests that can't be served any more. The caller must hold mu.
+func (st *localState) refuseExpired(now time.Duration, s *service) []outgoing {
+	var out []outgoing
+	capacity := s.capacity(now, nil)
+	for _, e := range s.allocation.queue.Expire(now, capacity) {
+		out = append(out, st.refuse(now, s, e.Value, slotqueue.Refused{
+			Reason:     slotqueue.ReasonLate,
+			RetryAfter: s.allocation.queue.RetryAfter(now, e, capacity),
+		}))
+	}
+	return out
+}
+
 // expireClaims forgets slots whose releases were lost, and allocators' silences that are over.
 // The caller must hold mu.
 func (st *localState) expireClaims(now time.Duration) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -661,14 +661,20 @@
 	st := g.state
 	var out []outgoing
 	st.withLock(func() {
+		waiting := map[*service]struct{}{}
 		st.ages.Report(now, from, m.Age)
 		lifetime := loadReportLifetimePeriods * st.loadReportPeriod()
 		for _, load := range m.Loads {
 			if s := st.services[load.Service]; s != nil {
 				s.table.ReceiveLoad(now, string(from), load.Load, lifetime)
-				out = append(out, st.serveWaiting(now, s)...)
+				if s.isBusy() {
+					waiting[s] = struct{}{}
+				}
 			}
 		}
+		for s := range waiting {
+			out = append(out, st.serveWaiting(now, s)...)
+		}
 	})
 	g.post(out...)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -353,6 +353,7 @@
 		}
 		g.contain(func() { g.findUnresponsive(boot.Now()) })
 		g.contain(func() { g.sendReports(boot.Now()) })
+		g.contain(func() { g.sendZoneLoads(boot.Now()) })
 		g.contain(g.stepLinks)
 		g.contain(g.confirmStrikes)
 		g.contain(func() { g.reportLinks(boot.Now()) })
--- a/internal/gateway/slotmessage.go
+++ b/internal/gateway/slotmessage.go
@@ -26,8 +26,8 @@
 	// targets that the instance doesn't use for now.
 	Tried []string
 	Unfit []string
-	// Left is the time until the request's deadline, Expected the expected time at a target
-	// and Objective the latency objective of its route, or zero.
+	// Left is the time until the request's deadline, Expected the mean time at a target, or zero
+	// if that isn't known, and Objective the latency objective of its route, or zero.
 	Left      time.Duration
 	Expected  time.Duration
 	Objective time.Duration
@@ -72,9 +72,9 @@
 	// refused one may come back.
 	Wait       time.Duration
 	RetryAfter time.Duration
-	// Reason is that of a refusal, or why a granted request leaves its zone.
+	// Reason is that of a refusal, or why a waiting request leaves its zone.
 	Reason string
-	// Origin is as in the request, in the answer to an allocator that forwarded it.
+	// Origin is as in the request, in the decline sent to an allocator that forwarded it.
 	Origin instance.Address
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -27,6 +27,7 @@
 	"dandelionmux/pkg/source"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
+	"dandelionmux/pkg/zoneload"
 )
 
 // memberPrefix is the store key prefix under which instances register.
@@ -107,6 +108,10 @@
 	// is skipped.
 	silentAllocators map[instance.Address]time.Duration
 	allocator        allocator
+	// zoneLoads is what this instance knows as an allocator of other zones, and roundTrips how
+	// long messages take there and back.
+	zoneLoads  *zoneload.Table
+	roundTrips *zoneload.RoundTrips
 	// source chooses from where this instance gets the store's content.
 	source *source.Chooser
 	// publishedTrust is the time of trust that was last published.
@@ -214,8 +219,11 @@
 
 func newLocalState(g *Gateway) *localState {
 	now := boot.Now()
+	roundTrips := zoneload.NewRoundTrips()
 	return &localState{
 		gateway:    g,
+		roundTrips: roundTrips,
+		zoneLoads:  zoneload.New(g.settings.Zone, zoneload.WithRoundTrips(roundTrips)),
 		mirror:     mirror.New(mirror.WithEraKey(eraKey)),
 		targets:    target.NewRegistry(),
 		members:    map[instance.Address]member{},
--- a/pkg/outlier/latencies.go
+++ b/pkg/outlier/latencies.go
@@ -81,6 +81,15 @@
 	return l.ResponseTimeout(route, objective) / timeoutFactor
 }
 
+// Mean returns the mean latency of the route; zero until enough answers have been recorded.
+func (l *Latencies) Mean(route string) time.Duration {
+	m := l.routes[route]
+	if m == nil || m.samples < minSamples {
+		return 0
+	}
+	return m.mean
+}
+
 // OverdueAfter returns how long a request on the route waits for its answer before another
 // attempt is made beside it. About one in ten waits longer at a sound target. If the route has a
 // latency objective, that attempt begins early enough to be answered within it, unless retries
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -31,6 +31,8 @@
 	// of each zone.
 	members []instance.Info
 	zones   map[string][]instance.Info
+	// zoneNames holds the keys of zones in order.
+	zoneNames []string
 }
 
 // New returns the roster of the members as seen by the instance self. Self takes
@@ -52,6 +54,7 @@
 	for _, m := range r.members {
 		r.zones[m.Zone] = append(r.zones[m.Zone], m)
 	}
+	r.zoneNames = slices.Sorted(maps.Keys(r.zones))
 	return r
 }
 
@@ -117,8 +120,8 @@
 	return highestCapable(key(kind, name), r.zones[zone], isCapable)
 }
 
-// ZoneNames returns the names of the zones that have members, in order.
-func (r *Roster) ZoneNames() []string { return slices.Sorted(maps.Keys(r.zones)) }
+// ZoneNames returns the names of the zones that have members, in order. They must not be changed.
+func (r *Roster) ZoneNames() []string { return r.zoneNames }
 
 // RemoteKeepers returns the members of the other zones, one for each zone, that are
 // responsible there for the rate, budget or message of this kind and name.
