--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -205,7 +205,7 @@
 	case claimForwarded:
 		return []outgoing{c.waiting(c.forwardedUntil - now)}
 	default:
-		return []outgoing{c.waiting(s.allocation.queue.Expect(now, c.entry(), s.capacity(now, c)))}
+		return []outgoing{c.waiting(s.allocation.queue.Expect(now, c.entry(), st.capacity(now, s, c)))}
 	}
 }
 
@@ -228,13 +228,17 @@
 	return true
 }
 
-// capacity returns the service's capacity in this zone. c tells how long requests take before
-// any has ended.
-func (s *service) capacity(now time.Duration, c *slotClaim) slotqueue.Capacity {
+// capacity returns the service's capacity in this zone or, if it has no usable target here, what
+// other zones have free. c tells how long requests take before any has ended. The caller must hold
+// mu.
+func (st *localState) capacity(now time.Duration, s *service, c *slotClaim) slotqueue.Capacity {
 	capacity := slotqueue.Capacity{
 		Slots:       s.table.Room(now).Slots,
 		ServiceTime: s.allocation.slotTime,
 	}
+	if capacity.Slots == 0 {
+		capacity = st.remoteCapacity(now, s.name)
+	}
 	if capacity.ServiceTime == 0 && c != nil {
 		capacity.ServiceTime = c.request.Expected
 	}
@@ -258,8 +262,8 @@
 // caller must hold mu.
 func (st *localState) enqueue(now time.Duration, s *service, c *slotClaim) []outgoing {
 	al := s.allocated()
-	capacity := s.capacity(now, c)
-	if capacity.Slots == 0 && !st.hearsZones(now, s.name) {
+	capacity := st.capacity(now, s, c)
+	if capacity.Slots == 0 {
 		delete(st.allocator.claims, c.key)
 		return decline(c.key.origin, slotRequest{
 			Number: c.request.Number,
@@ -283,7 +287,7 @@
 	al := s.allocation
 	delete(st.allocator.claims, c.key)
 	delete(al.pending, c)
-	capacity := s.capacity(now, c)
+	capacity := st.capacity(now, s, c)
 	expected := al.queue.Expect(now, c.entry(), capacity)
 	st.gateway.logger.Info("slot refused",
 		slog.String("Service", s.name),
@@ -462,7 +466,7 @@
 // refuseExpired refuses the requests that can't be served any more. The caller must hold mu.
 func (st *localState) refuseExpired(now time.Duration, s *service) []outgoing {
 	var out []outgoing
-	capacity := s.capacity(now, nil)
+	capacity := st.capacity(now, s, nil)
 	for _, e := range s.allocation.queue.Expire(now, capacity) {
 		out = append(out, st.refuse(now, s, e.Value, slotqueue.Refused{
 			Reason:     slotqueue.ReasonLate,
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -26,6 +26,7 @@
 	"dandelionmux/pkg/quarantine"
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
+	"dandelionmux/pkg/zoneload"
 )
 
 // These tests fail if a stored or sent form or a name that it holds changes:
@@ -33,11 +34,12 @@
 
 func TestMemberIsStoredUnderFixedNames(t *testing.T) {
 	is := is.New(t)
-	const stored = `{"Zone":"a","Incarnation":3,"Build":"149e753"}`
+	const stored = `{"Zone":"a","Incarnation":3,"Build":"149e753","Allocates":true}`
 	want := memberValue{
 		Zone:        "a",
 		Incarnation: 3,
 		Build:       "149e753",
+		Allocates:   true,
 	}
 	content, err := json.Marshal(want)
 	is.NoErr(err)
@@ -45,6 +47,10 @@
 	var got memberValue
 	is.NoErr(json.Unmarshal([]byte(stored), &got))
 	is.Equal(got, want)
+	// An older build doesn't say that it grants slots, since it can't.
+	want.Allocates, got = false, memberValue{}
+	is.NoErr(json.Unmarshal([]byte(`{"Zone":"a","Incarnation":3,"Build":"149e753"}`), &got))
+	is.Equal(got, want)
 	g := &Gateway{
 		self: instance.Info{
 			ID: instance.ID{
@@ -262,6 +268,98 @@
 			},
 			want: "0807620b42046465736b280c10ac0268a01f",
 		},
+		{
+			name: "request for a slot",
+			m: slotRequest{
+				Number:       7,
+				Service:      "desk",
+				Rank:         2,
+				Organisation: "orchard",
+				Repeatable:   true,
+				Beside:       true,
+				Tried:        []string{"desk-a", "desk-b"},
+				Unfit:        []string{"desk-c"},
+				Left:         1200 * time.Millisecond,
+				Expected:     140 * time.Millisecond,
+				Objective:    time.Second,
+				Origin:       "10.0.0.2:7340",
+			},
+			want: "080b7a47080712046465736b180222076f726368617264280130013a066465736b2d613a066465736b2d6242066465736b2d6348b009508c0158e807620d31302e302e302e323a37333430",
+		},
+		{
+			name: "request for a slot with absent fields",
+			m: slotRequest{
+				Number:  7,
+				Service: "desk",
+			},
+			want: "080b7a08080712046465736b",
+		},
+		{
+			name: "granted slot",
+			m: slotResponse{
+				Number:  7,
+				Verdict: slotGranted,
+				Target:  "desk-a",
+			},
+			want: "080c7a0c0807680172066465736b2d61",
+		},
+		{
+			name: "wait for a slot",
+			m: slotResponse{
+				Number:  7,
+				Verdict: slotWaiting,
+				Wait:    40 * time.Millisecond,
+				Reason:  "late",
+			},
+			want: "080c7a0d0807680278288a01046c617465",
+		},
+		{
+			name: "refused slot",
+			m: slotResponse{
+				Number:     7,
+				Verdict:    slotRefused,
+				Wait:       3 * time.Second,
+				RetryAfter: 400 * time.Millisecond,
+				Reason:     "no-capacity",
+			},
+			want: "080c7a190807680378b817800190038a010b6e6f2d6361706163697479",
+		},
+		{
+			name: "declined slot of a forwarded request",
+			m: slotResponse{
+				Number: 7,
+				Origin: "10.0.0.2:7340",
+			},
+			want: "080c7a110807620d31302e302e302e323a37333430",
+		},
+		{
+			name: "released slot",
+			m: slotRelease{
+				Number:  7,
+				Service: "desk",
+				Target:  "desk-a",
+				Hold:    270 * time.Millisecond,
+			},
+			want: "080d7a14080712046465736b72066465736b2d6190018e02",
+		},
+		{
+			name: "load of a zone",
+			m: zoneLoadReport{
+				Report: zoneload.Report{
+					Service:     "desk",
+					Zone:        "a",
+					Targets:     20,
+					Slots:       40,
+					InUse:       39,
+					Waiting:     3,
+					ServiceTime: 140 * time.Millisecond,
+				},
+				SentAt:   5 * time.Second,
+				EchoedAt: 4 * time.Second,
+				HeldFor:  250 * time.Microsecond,
+			},
+			want: "080e7a2a12046465736b9a010161a00114a80128b00127b80103c0018c01c801c096b102d0018092f401d801fa01",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -279,6 +377,7 @@
 func TestTextsOfKindsAreFixed(t *testing.T) {
 	is := is.New(t)
 	is.Equal(organisationRate.String(), "rate")
+	is.Equal(slotKind, "slots")
 	is.Equal(retryBudget.String(), "budget")
 }
 
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionmux/internal/boot"
+	slotqueue "dandelionmux/pkg/admission"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/spillover"
 	"dandelionmux/pkg/zoneload"
@@ -35,15 +36,17 @@
 	return st.zoneLoads.Zones(now, service, known)
 }
 
-// hearsZones reports whether the allocator of a service in another zone has reported lately. The
-// caller must hold mu.
-func (st *localState) hearsZones(now time.Duration, service string) bool {
+// remoteCapacity returns what is free of a service in the zones whose allocators have reported
+// lately, at least one slot in each that has any. The caller must hold mu.
+func (st *localState) remoteCapacity(now time.Duration, service string) slotqueue.Capacity {
+	var capacity slotqueue.Capacity
 	for _, state := range st.zoneStates(now, service) {
-		if state.Age < heardTerm {
-			return true
+		if state.Age < heardTerm && state.Slots > 0 {
+			capacity.Slots += max(state.Slots-state.InUse, 1)
+			capacity.ServiceTime = max(capacity.ServiceTime, state.ServiceTime)
 		}
 	}
-	return false
+	return capacity
 }
 
 // forward asks another zone for a slot if the request is served there sooner, and reports whether
@@ -92,7 +95,7 @@
 	return spillover.Home{
 		Free:    room.Free,
 		Waiting: s.allocation.queue.Len(),
-		Wait:    s.allocation.queue.Expect(now, c.entry(), s.capacity(now, c)),
+		Wait:    s.allocation.queue.Expect(now, c.entry(), st.capacity(now, s, c)),
 		Targets: room.Targets,
 	}
 }
