--- a/internal/gateway/allocation_test.go
+++ b/internal/gateway/allocation_test.go
@@ -208,6 +208,7 @@
 	for _, g := range f.instances {
 		is.Equal(g.Allocator("desk"), f.instances[3].PeerAddress())
 	}
+	time.Sleep(2 * slotWork) // it declines until it has load reports
 	is.Equal(f.statuses(8, "/one"), map[int]int{http.StatusOK: 8})
 	is.Equal(f.total("Allocation.Granted"), 8)
 }
--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -143,7 +143,9 @@
 func (st *localState) decideSlot(now time.Duration, from instance.Address, m slotRequest) []outgoing {
 	g := st.gateway
 	s := st.services[m.Service]
-	if s == nil || !g.Current().Ready() || g.leaving.Load() {
+	// An instance that has just started doesn't know the load yet.
+	started := now >= st.startedAt+st.loadReportPeriod()
+	if s == nil || !started || !g.Current().Ready() || g.leaving.Load() {
 		return decline(from, m)
 	}
 	c := &slotClaim{
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -202,3 +202,22 @@
 	is.Equal(len(r.RemoteKeepers("rate", "orchard", noneUnresponsive)), 0)
 	is.Equal(r.Zones(3, noneUnresponsive).Count, 3)
 }
+
+// Guards against a task that members are given which can't do it, also if nobody else can.
+func TestCapableKeeperIsAmongTheCapable(t *testing.T) {
+	is := is.New(t)
+	all := members(39)
+	capable := map[instance.Address]bool{
+		"10.0.0.3:7000":  true, // of zone a
+		"10.0.0.12:7000": true, // of zone a
+		"10.0.0.4:7000":  true, // of zone b
+	}
+	isCapable := func(a instance.Address) bool { return capable[a] }
+	r := roster.New(all[0], all)
+	is.Equal(r.ZoneNames(), []string{"a", "b", "c"})
+	is.True(capable[r.CapableKeeper("a", "slots", "desk", isCapable)])
+	is.Equal(r.CapableKeeper("b", "slots", "desk", isCapable), instance.Address("10.0.0.4:7000"))
+	is.Equal(r.CapableKeeper("c", "slots", "desk", isCapable), instance.Address(""))
+	everyone := func(instance.Address) bool { return true }
+	is.Equal(r.CapableKeeper("a", "slots", "desk", everyone), r.ZoneKeeper("slots", "desk", noneUnresponsive))
+}
