--- a/internal/gateway/allocation_test.go
+++ b/internal/gateway/allocation_test.go
@@ -227,8 +227,11 @@
 			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.EntryAddress()+"/one", nil)
 			is.NoErr(err)
 			r.Header.Set("Authorization", "Bearer key-1")
-			_, err = http.DefaultClient.Do(r)
+			answer, err := http.DefaultClient.Do(r)
 			is.True(err != nil)
+			if err == nil {
+				_ = answer.Body.Close()
+			}
 		})
 	}
 	group.Wait()
--- a/pkg/outlier/grant.go
+++ b/pkg/outlier/grant.go
@@ -68,6 +68,14 @@
 	return s.Target, true
 }
 
+// isForeign reports whether the target is in a zone that is of no use to the request.
+func (t *Table) isForeign(s *targetState, r Request) bool { return r.OwnZone && s.Zone != t.zone }
+
+// passesOver reports whether the request names a target as one that isn't to be chosen.
+func (r Request) passesOver(name string) bool {
+	return slices.Contains(r.Avoid, name) || slices.Contains(r.Unfit, name)
+}
+
 // leastLoaded returns the candidate with the least load among those with a free slot, a random
 // one of several, or nil if there is none.
 func (t *Table) leastLoaded(now time.Duration, candidates []*targetState) *targetState {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -253,14 +253,13 @@
 	var healthy, onProbation, degraded, ejected []*targetState
 	all := 0
 	for _, s := range t.order {
-		if s.Leaving || r.OwnZone && s.Zone != t.zone {
+		if s.Leaving || t.isForeign(s, r) {
 			continue
 		}
 		all++
 		switch {
-		case slices.Contains(r.Unfit, s.Name):
 		case r.Spare && spareSlotFactor*(s.inUse(now)+1) > s.Slots:
-		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
+		case r.passesOver(s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
 		case now < s.ejectedUntil || now < s.pausedUntil:
