--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -236,8 +236,10 @@
 	// allocator was asked last, sendings times without an answer.
 	allocator instance.Address
 	sendings  int
-	// waitsAt is the allocator with which the request waits, if any.
+	// waitsAt is the allocator with which the request waits, if any. waited is set once it has
+	// waited, and reason is why it was to leave its zone.
 	waitsAt instance.Address
+	waited  bool
 	reason  string
 }
 
@@ -330,7 +332,7 @@
 			if answer.Verdict != slotWaiting {
 				return answer, true
 			}
-			a.sendings, a.waitsAt = 0, answer.from
+			a.sendings, a.waitsAt, a.waited = 0, answer.from, true
 			if answer.Reason != "" {
 				a.reason = answer.Reason
 			}
@@ -360,6 +362,9 @@
 	}
 	a.sendings++
 	a.message.Left = max(time.Until(a.request.Deadline), 0)
+	if a.waitsAt != a.allocator {
+		a.withdraw()
+	}
 	g.post(outgoing{
 		to: a.allocator,
 		m:  a.message,
@@ -367,6 +372,21 @@
 	return true
 }
 
+// withdraw ends the wait at an allocator.
+func (a *slotAsk) withdraw() {
+	if a.waitsAt == "" {
+		return
+	}
+	a.gateway.post(outgoing{
+		to: a.waitsAt,
+		m: slotRelease{
+			Number:  a.message.Number,
+			Service: a.message.Service,
+		},
+	})
+	a.waitsAt = ""
+}
+
 // receive waits for an answer. It returns false if none comes in time, or if the caller leaves.
 func (a *slotAsk) receive(ctx context.Context, patience time.Duration) (slotAnswer, bool) {
 	select {
@@ -400,14 +420,8 @@
 			unread = false
 		}
 	}
-	if a.waitsAt != "" && a.waitsAt != decision.from {
-		g.post(outgoing{
-			to: a.waitsAt,
-			m: slotRelease{
-				Number:  a.message.Number,
-				Service: a.message.Service,
-			},
-		})
+	if a.waitsAt != decision.from {
+		a.withdraw()
 	}
 }
 
@@ -459,7 +473,7 @@
 		obtained.slot.grant.reason = a.reason
 		st.gateway.count("Allocation.Left." + chosen.Zone)
 	}
-	if a.waitsAt != "" {
+	if a.waited {
 		st.gateway.count("Allocation.Waited")
 	}
 	return obtained, true
@@ -495,7 +509,7 @@
 		slog.String("Allocator", string(sl.grant.allocator)),
 		slog.Uint64("Number", sl.grant.number),
 		slog.Duration("Waited", sl.grant.waited),
-		slog.String("Left", sl.grant.reason),
+		slog.String("LeftZone", sl.grant.reason),
 	}
 }
 
