Slots that were not used don't count for the mean time at a target

Late grants and cancelled attempts made it too short, so that requests were queued that could not be served. A request that waits while its instance stops is refused as stopping, and one whose caller leaves is not counted as refused for lack of capacity.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -194,6 +194,7 @@
 		m: slotRelease{
 			Number: m.Number,
 			Target: m.Target,
+			Unused: true,
 		},
 	})
 }
@@ -290,7 +291,7 @@
 			if ok && answer.Verdict == slotGranted {
 				g.releaseLate(answer.from, answer.slotResponse)
 			}
-			return slotDenied{g.noCapacity(ctx, a, slotResponse{})}
+			return slotDenied{g.timeIsOver(ctx, a)}
 		case !ok:
 			g.count("Allocation.Fallback")
 			return slotUndecided{}
@@ -441,6 +442,7 @@
 			Number:    answer.Number,
 			Service:   a.message.Service,
 			Target:    answer.Target,
+			Unused:    true,
 			uncounted: true,
 		},
 	})
@@ -479,9 +481,9 @@
 	return obtained, true
 }
 
-// releaseGrant tells the allocator that has granted the slot that it is free, and how long its
-// target takes no requests.
-func (sl *slot) releaseGrant(hold time.Duration) {
+// releaseGrant tells the allocator that has granted the slot that it is free, how long its
+// target takes no requests, and whether the target has not run the request to its end.
+func (sl *slot) releaseGrant(hold time.Duration, unused bool) {
 	if sl.grant == nil {
 		return
 	}
@@ -494,6 +496,7 @@
 			Service:   sl.service,
 			Target:    sl.target.Name,
 			Hold:      hold,
+			Unused:    unused,
 			uncounted: true,
 		},
 	})
@@ -513,6 +516,22 @@
 	}
 }
 
+// timeIsOver refuses a request whose caller has left, that is given up because the instance
+// stops, or that has waited in vain to its end.
+func (g *Gateway) timeIsOver(ctx context.Context, a *slotAsk) error {
+	if time.Now().Before(a.request.Deadline) {
+		if g.Current().Leaving {
+			return entry.StoppingRefusal()
+		}
+		g.count("Allocation.Withdrawn")
+		return &entry.Refusal{
+			Status: http.StatusServiceUnavailable,
+			Reason: "caller-left",
+		}
+	}
+	return g.noCapacity(ctx, a, slotResponse{})
+}
+
 // noCapacity refuses a request that an allocator has refused, or that has waited in vain.
 func (g *Gateway) noCapacity(ctx context.Context, a *slotAsk, m slotResponse) error {
 	refusal := &entry.Refusal{
--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -374,7 +374,8 @@
 		}
 		if m.Hold > 0 {
 			s.table.HoldFor(now+m.Hold, c.target)
-		} else {
+		}
+		if !m.Unused {
 			s.allocation.recordSlotTime(now - c.grantedAt)
 		}
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -374,7 +374,7 @@
 			s.table.Hold(boot.Now()+hold, sl.target.Name)
 		}
 	})
-	sl.releaseGrant(hold)
+	sl.releaseGrant(hold, true)
 }
 
 // ChoiceAttrs implements entry.Explainer.
@@ -470,7 +470,7 @@
 			}
 		}
 	})
-	sl.releaseGrant(0)
+	sl.releaseGrant(0, e.Outcome != target.Succeeded && e.Outcome != target.Failed)
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -339,8 +339,9 @@
 				Service: "desk",
 				Target:  "desk-a",
 				Hold:    270 * time.Millisecond,
+				Unused:  true,
 			},
-			want: "080d7a14080712046465736b72066465736b2d6190018e02",
+			want: "080d7a17080712046465736b72066465736b2d6190018e02e00101",
 		},
 		{
 			name: "load of a zone",
--- a/internal/gateway/slotmessage.go
+++ b/internal/gateway/slotmessage.go
@@ -87,6 +87,9 @@
 	Target string
 	// Hold is how long the target takes no requests.
 	Hold time.Duration
+	// Unused is set if the target has not run the request to its end, so that the time for which
+	// the slot was held says nothing.
+	Unused bool
 	// uncounted is set if the instance is the allocator itself and its table doesn't count the
 	// request any more. It isn't sent.
 	uncounted bool
@@ -141,6 +144,7 @@
 	slotFieldSentAt
 	slotFieldEchoedAt
 	slotFieldHeldFor
+	slotFieldUnused
 )
 
 // slotBody builds a fieldBody. Its methods leave out fields that are zero.
@@ -212,6 +216,7 @@
 		b.text(slotFieldService, m.Service)
 		b.text(slotFieldTarget, m.Target)
 		b.millis(slotFieldHold, m.Hold)
+		b.flag(slotFieldUnused, m.Unused)
 		return b.datagram(slotReleaseType)
 	case zoneLoadReport:
 		b.text(slotFieldService, m.Service)
@@ -315,6 +320,8 @@
 			m.Target = string(content)
 		case slotFieldHold:
 			m.Hold = wireMillis(v)
+		case slotFieldUnused:
+			m.Unused = protowire.DecodeBool(v)
 		}
 		return nil
 	})
