--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -64,6 +64,8 @@
 	countingSince time.Duration
 	// retryRefusedAt is when a retry was last refused.
 	retryRefusedAt time.Duration
+	// allocation is set once this instance has been asked for a slot of the service.
+	allocation *allocation
 }
 
 // retriesAreScarce reports whether a retry has been refused lately.
@@ -82,9 +84,9 @@
 		if g.stopsBefore(request) {
 			return nil, entry.StoppingRefusal()
 		}
-		acquired, limit := g.choose(request)
-		if acquired == nil {
-			return nil, g.noTarget(ctx, request)
+		acquired, limit, err := g.obtain(ctx, request)
+		if err != nil {
+			return nil, err
 		}
 		if limit.Kind != meter.Limited && !acquired.warmUp.Limits() {
 			acquired.start()
@@ -103,6 +105,22 @@
 	}
 }
 
+// obtain returns a slot that its service's allocator has granted, or one that this instance has
+// chosen if it decides for itself.
+func (g *Gateway) obtain(ctx context.Context, request entry.SlotRequest) (*slot, meter.TargetLimit, error) {
+	switch o := g.allocate(ctx, request).(type) {
+	case slotObtained:
+		return o.slot, o.limit, nil
+	case slotDenied:
+		return nil, meter.TargetLimit{}, o.err
+	}
+	acquired, limit := g.choose(request)
+	if acquired == nil {
+		return nil, meter.TargetLimit{}, g.noTarget(ctx, request)
+	}
+	return acquired, limit, nil
+}
+
 // stopsBefore reports whether the instance stops before an attempt that begins now is likely to be
 // answered.
 func (g *Gateway) stopsBefore(request entry.SlotRequest) bool {
@@ -142,8 +160,14 @@
 	if !ok {
 		return nil, meter.TargetLimit{}
 	}
+	return st.newSlot(now, s, request, chosen)
+}
+
+// newSlot returns a slot at a target that was chosen or granted, and the target's limit. The
+// caller must hold mu.
+func (st *localState) newSlot(now time.Duration, s *service, request entry.SlotRequest, chosen document.Target) (*slot, meter.TargetLimit) {
 	acquired := &slot{
-		gateway:         g,
+		gateway:         st.gateway,
 		service:         request.Service,
 		route:           request.Route.Name,
 		target:          chosen,
@@ -338,6 +362,8 @@
 	// reason was that there was no permit or that the target's zone is evacuated.
 	unsent   atomic.Bool
 	withheld atomic.Bool
+	// grant is the allocator's, or nil if this instance chose the target.
+	grant *slotGrant
 }
 
 // start counts the attempt and begins to wait for its answer.
@@ -367,11 +393,12 @@
 			s.table.Hold(boot.Now()+hold, sl.target.Name)
 		}
 	})
+	sl.releaseGrant(hold, true)
 }
 
 // ChoiceAttrs implements entry.Explainer.
 func (sl *slot) ChoiceAttrs() []slog.Attr {
-	return []slog.Attr{
+	return append([]slog.Attr{
 		slog.String("Zone", sl.target.Zone),
 		slog.Int("InUse", sl.inUse),
 		slog.Int("Sound", sl.targetCounts.Healthy),
@@ -379,7 +406,7 @@
 		slog.Int("Out", sl.targetCounts.Unavailable),
 		slog.Int("Lost", sl.targetCounts.Lost),
 		slog.Duration("Patience", sl.responseTimeout),
-	}
+	}, sl.grantAttrs()...)
 }
 
 // Target implements entry.Slot.
@@ -474,6 +501,7 @@
 			}
 		}
 	})
+	sl.releaseGrant(0, e.Outcome != target.Succeeded && e.Outcome != target.Failed)
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
 	}
@@ -665,15 +693,24 @@
 func (g *Gateway) handleLoadReport(from instance.Address, m loadReport) {
 	now := boot.Now()
 	st := g.state
+	var out []outgoing
 	st.withLock(func() {
+		waiting := map[*service]struct{}{}
 		st.ages.Report(now, from, m.Age)
 		lifetime := loadReportLifetimePeriods * st.loadReportPeriod()
 		for _, load := range m.Loads {
 			if s := st.services[load.Service]; s != nil {
 				s.table.ReceiveLoad(now, string(from), load.Load, lifetime)
+				if s.isBusy() {
+					waiting[s] = struct{}{}
+				}
 			}
 		}
+		for s := range waiting {
+			out = append(out, st.serveWaiting(now, s)...)
+		}
 	})
+	g.post(out...)
 }
 
 // handleRetryReport counts the retries that another instance of the zone has granted.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,10 @@
 			s.service, s.Healthy, s.OnProbation, s.Unavailable, s.Held, s.Resting, s.Leaving, s.Evacuated)
 	}
 	g.writeZoneMetrics(w, boot.Now())
+	for _, s := range g.state.slotCounts(boot.Now()) {
+		_, _ = fmt.Fprintf(w, "Allocation.%[1]s.Slots %[2]d\nAllocation.%[1]s.InUse %[3]d\nAllocation.%[1]s.Waiting %[4]d\n",
+			s.service, s.Slots, s.InUse, s.waiting)
+	}
 	g.registry.Each(func(name string, m any) {
 		switch m := m.(type) {
 		case metrics.Counter:
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -29,6 +29,7 @@
 	"dandelionmux/pkg/store"
 	"dandelionmux/pkg/target"
 	"dandelionmux/pkg/warmup"
+	"dandelionmux/pkg/zoneload"
 )
 
 // memberPrefix is the store key prefix under which instances register.
@@ -111,6 +112,14 @@
 	// store rejects must go on keeping rates, since two keepers of one rate would grant
 	// more than the rate.
 	unresponsiveUntil map[instance.Address]time.Duration
+	// silentAllocators holds the allocators that did not answer, with the time until which each
+	// is skipped.
+	silentAllocators map[instance.Address]time.Duration
+	allocator        allocator
+	// zoneLoads is what this instance knows as an allocator of other zones, and roundTrips how
+	// long messages take there and back.
+	zoneLoads  *zoneload.Table
+	roundTrips *zoneload.RoundTrips
 	// source chooses from where this instance gets the store's content.
 	source *source.Chooser
 	// publishedTrust is the time of trust that was last published.
@@ -158,6 +167,8 @@
 	capacity float64
 	// build is the build that the member runs; empty if it doesn't tell.
 	build string
+	// allocates is set if the member's build can grant slots.
+	allocates bool
 	// expiresAt is when a member that was removed around a store outage is dropped. It
 	// is zero for a member that is registered.
 	expiresAt time.Duration
@@ -172,6 +183,7 @@
 	Incarnation uint64
 	Capacity    float64 `json:",omitempty"`
 	Build       string  `json:",omitempty"`
+	Allocates   bool    `json:",omitempty"`
 }
 
 // decodeMember returns the member that is registered under a key.
@@ -192,8 +204,9 @@
 			},
 			Zone: v.Zone,
 		},
-		capacity: v.Capacity,
-		build:    v.Build,
+		capacity:  v.Capacity,
+		build:     v.Build,
+		allocates: v.Allocates,
 	}, nil
 }
 
@@ -214,8 +227,11 @@
 
 func newLocalState(g *Gateway) *localState {
 	now := boot.Now()
+	roundTrips := zoneload.NewRoundTrips()
 	return &localState{
 		gateway:    g,
+		roundTrips: roundTrips,
+		zoneLoads:  zoneload.New(g.settings.Zone, zoneload.WithRoundTrips(roundTrips)),
 		mirror:     mirror.New(mirror.WithEraKey(eraKey)),
 		targets:    target.NewRegistry(),
 		members:    map[instance.Address]member{},
@@ -239,6 +255,8 @@
 		helpers:           link.NewHelpers(),
 		formerUntil:       map[string]time.Duration{},
 		unresponsiveUntil: map[instance.Address]time.Duration{},
+		silentAllocators:  map[instance.Address]time.Duration{},
+		allocator:         newAllocator(),
 		source:            source.New(g.self),
 		mirrorChanged:     make(chan struct{}),
 		lastDatagramAt:    map[instance.Address]time.Duration{},
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -68,6 +68,8 @@
 	// order holds the targets sorted by name, so that choices are reproducible under a
 	// fixed seed.
 	order []*targetState
+	// maxSlots is the largest number of slots of a target.
+	maxSlots int
 	// errors holds the server errors and truncated answers that this instance saw, and
 	// those and the timeouts that others reported, within errorWindow, oldest first. Those
 	// of targets that were ejected meanwhile are included.
@@ -105,6 +107,14 @@
 	reported int
 	// peerLoads is the load that other instances reported, by instance.
 	peerLoads map[string]peerLoad
+	// remote holds the slots granted to instances of other zones.
+	remote []remoteGrant
+	// others is the sum of peerLoads and remote from othersFrom until othersUntil. recount is
+	// set if they have changed since.
+	others      int
+	othersFrom  time.Duration
+	othersUntil time.Duration
+	recount     bool
 	// ejectedUntil is the end of the ejection and probationUntil the end of the
 	// probation, which follows an ejection or a suspicion. successes counts the successes during the probation.
 	ejectedUntil   time.Duration
@@ -141,6 +151,8 @@
 type peerLoad struct {
 	running int
 	expires time.Duration
+	// changedAt is when a grant or a release last changed it; zero if a report did.
+	changedAt time.Duration
 }
 
 // Load is the number of requests that an instance has in flight at a target, and what it has
@@ -158,6 +170,10 @@
 	Repeatable bool
 	// Avoid holds the names of targets that were already tried.
 	Avoid []string
+	// Unfit holds the names of further targets that are not to be chosen.
+	Unfit []string
+	// OwnZone is set if only targets of the table's own zone are of use.
+	OwnZone bool
 	// Prefer holds the names of targets that are chosen before others, wherever they are.
 	Prefer []string
 	// Spare is set if the request is worth sending only to a sound target that has at most
@@ -213,7 +229,7 @@
 		}
 	}
 	t.targets = make(map[string]*targetState, len(list))
-	t.order = t.order[:0]
+	t.order, t.maxSlots = t.order[:0], 0
 	for _, r := range list {
 		s := old[r.Target.Name]
 		if s == nil || s.Address != r.Target.Address {
@@ -223,10 +239,12 @@
 			}
 		}
 		maps.DeleteFunc(s.peerLoads, func(_ string, p peerLoad) bool { return now >= p.expires })
+		s.recount = true
 		s.Target = r.Target
 		s.warmUntil = now + r.WarmupRemaining
 		t.targets[r.Target.Name] = s
 		t.order = append(t.order, s)
+		t.maxSlots = max(t.maxSlots, s.Slots)
 	}
 	slices.SortFunc(t.order, func(a, b *targetState) int { return cmp.Compare(a.Name, b.Name) })
 }
@@ -260,13 +278,13 @@
 	var healthy, onProbation, degraded, ejected []*targetState
 	all := 0
 	for _, s := range t.order {
-		if t.outOfUse(s) {
+		if t.outOfUse(s) || t.isForeign(s, r) {
 			continue
 		}
 		all++
 		switch {
 		case r.Spare && spareSlotFactor*(s.inUse(now)+1) > s.Slots:
-		case slices.Contains(r.Avoid, s.Name), now < s.heldUntil, now < s.restUntil:
+		case r.passesOver(s.Name), now < s.heldUntil, now < s.restUntil:
 		case now < s.ejectedUntil && s.lostRequests:
 			ejected = append(ejected, s)
 		case now < s.ejectedUntil || now < s.pausedUntil:
@@ -418,13 +436,7 @@
 // inUse returns the number of requests in flight at the target, including those
 // that other instances have reported.
 func (s *targetState) inUse(now time.Duration) int {
-	all := s.running
-	for _, p := range s.peerLoads {
-		if now < p.expires {
-			all += p.running
-		}
-	}
-	return all
+	return s.running + s.countOthers(now)
 }
 
 // load returns the fraction of the target's slots that would be in use with one
@@ -463,17 +475,10 @@
 		return
 	}
 	t.addEvidence(s, l.Evidence)
-	if s.peerLoads == nil {
-		s.peerLoads = map[string]peerLoad{}
-	}
-	if l.Running <= 0 {
-		delete(s.peerLoads, from)
-		return
-	}
-	s.peerLoads[from] = peerLoad{
+	s.receiveLoad(now, from, peerLoad{
 		running: l.Running,
 		expires: now + term,
-	}
+	})
 }
 
 // Done records the end of a request at a target. It reports whether the outcome
