--- a/internal/entry/relay_attempts_test.go
+++ b/internal/entry/relay_attempts_test.go
@@ -327,7 +327,7 @@
 }
 
 // allowAttempts sets how many attempts all routes allow.
-func (e *relayEnv) allowAttempts(n int) {
+func (e *testEnv) allowAttempts(n int) {
 	for i := range e.document.Routes {
 		e.document.Routes[i].Attempts = n
 	}
