Reserve retries for urgent ranks while the budget is short

A service's retry budget went to whoever asked first, so callers whose requests matter least used it up when all targets shed load. Budget.Take has an option for the rank: a retry is granted from what more urgent ranks haven't lately asked for, and of what is left at each rank a fifth is kept for the less urgent. Calls without a rank are decided as before; the bound is unchanged.

--- a/pkg/meter/budget.go
+++ b/pkg/meter/budget.go
@@ -48,6 +48,8 @@
 	// changedAt is when that last changed. It is zero if that never did.
 	granted   Totals
 	changedAt time.Duration
+	// ranks counts what this instance was asked for with a rank, as keeper.
+	ranks ranks
 }
 
 // Totals holds the numbers of a service's retries that a keeper has granted, and of the
@@ -86,6 +88,8 @@
 	Retries  float64
 	// Limit is the number of retries that may be granted within the span.
 	Limit float64
+	// Reserved is set if a retry is left, but for another rank.
+	Reserved bool
 }
 
 // NewBudget returns a budget of an instance that starts now.
@@ -100,8 +104,12 @@
 
 // Take takes one retry from a service's budget, if there is one. Begun holds the requests
 // that the asking instance has begun since it last asked, and zones the zone's share of
-// the fleet.
-func (b *Budget) Take(now time.Duration, service string, begun Begun, zones Zones) BudgetDecision {
+// the fleet. WithRank gives the rank of the request that is to be retried.
+func (b *Budget) Take(now time.Duration, service string, begun Begun, zones Zones, options ...TakeOption) BudgetDecision {
+	var o takeOptions
+	for _, option := range options {
+		option(&o)
+	}
 	u := b.usage(service)
 	if begun.Requests > 0 {
 		u.requests.AddOver(now, float64(begun.Requests), begun.Over)
@@ -117,14 +125,30 @@
 		Retries:  u.retries.Sum(now),
 	}
 	d.Limit = (b.settings.Ratio*d.Requests + b.settings.Base*zones.cappedFraction()) * float64(percent) / 100
-	if d.Granted = d.Retries+1 <= d.Limit; d.Granted {
+	d.Granted = d.Retries+1 <= d.Limit
+	if o.ranked {
+		u.ranks.ask(now, o.rank)
+		d.Reserved = d.Granted && !u.allowsRank(now, o.rank, d)
+		d.Granted = d.Granted && !d.Reserved
+	}
+	if d.Granted {
 		u.retries.Add(now, 1)
+		if o.ranked {
+			u.ranks.grant(now, o.rank)
+		}
 		u.granted.Retries++
 		u.changedAt = now
 	}
 	return d
 }
 
+// allowsRank reports whether a rank may have a retry. Retries without a rank, and those that
+// other keepers have granted, are taken off the budget that the ranks share.
+func (u *usage) allowsRank(now time.Duration, rank int, d BudgetDecision) bool {
+	ranked, less := u.ranks.granted(now, 0)
+	return u.ranks.allows(now, rank, d.Limit-max(d.Retries-ranked-less, 0))
+}
+
 // usage returns the counts of a service and creates them on first use.
 func (b *Budget) usage(service string) *usage {
 	u := b.services[service]
@@ -132,6 +156,9 @@
 		u = &usage{
 			requests: NewWindow(b.settings.Span),
 			retries:  NewWindow(b.settings.Span),
+			ranks: ranks{
+				span: b.settings.Span,
+			},
 			granted: Totals{
 				Service: service,
 			},
--- a/pkg/meter/doc.go
+++ b/pkg/meter/doc.go
@@ -36,7 +36,7 @@
 //		// and send the offer back; then r.Borrow(now, rate, offer, zones).
 //	}
 //	budget := meter.NewBudget(now, settings)
-//	if budget.Take(now, service, begun, zones).Granted {
+//	if budget.Take(now, service, begun, zones, meter.WithRank(rank)).Granted {
 //		// Send the request once more.
 //	}
 //	for _, totals := range budget.Changed(now, term) {
