Tell the keeper of a retry budget the rank of a retry

The keeper can reserve retries for urgent ranks, but requests didn't say theirs. A decision request of kind budget has the rank plus one in field 16; absent means none, as earlier builds send it, and the keeper then grants in order of arrival. Field 15 is left to messages about slots.

retryRank says which services have ranks: none yet, until slots are allocated, so nothing is sent and nothing changes. A request with a rank that isn't likely to be answered within its time asks for no retry. The retry's description has the organisation, the route and the time left, which both need. Left isn't Deadline, since package dispatch compares that with a clock of its own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -103,9 +103,12 @@
 		return true
 	}
 	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
-		Number:     n,
-		Outcome:    failure.outcome,
-		Repeatable: x.repeatable,
+		Number:       n,
+		Outcome:      failure.outcome,
+		Repeatable:   x.repeatable,
+		Left:         time.Until(x.deadline),
+		Organisation: x.organisation,
+		Route:        x.route,
 	})
 }
 
@@ -252,11 +255,14 @@
 // tried.
 func (x *exchange) retryOverdue(ctx context.Context, n int, tried []string) bool {
 	return x.handler.deps.Dispatcher.Retry(ctx, x.service, retry.Attempt{
-		Number:     n,
-		Outcome:    target.TimedOut,
-		Repeatable: true,
-		Beside:     true,
-		Tried:      tried,
+		Number:       n,
+		Outcome:      target.TimedOut,
+		Repeatable:   true,
+		Beside:       true,
+		Tried:        tried,
+		Left:         time.Until(x.deadline),
+		Organisation: x.organisation,
+		Route:        x.route,
 	})
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -222,9 +222,15 @@
 		g.count("Retry.NoRoom")
 		return false
 	}
+	rank, ranked := g.retryRank(name, failed)
+	if ranked && !g.hasTimeToRetry(name, failed) {
+		g.count("Retry.Late")
+		return false
+	}
 	request := decisionRequest{
 		Kind: retryBudget,
 		Name: name,
+		Rank: wireRank(rank, ranked),
 	}
 	g.state.withLock(func() {
 		if s := g.state.services[name]; s != nil {
@@ -232,13 +238,14 @@
 		}
 	})
 	granted := g.requestDecision(ctx, request).Granted
-	borrowed := !granted && g.borrowRetry(ctx, name)
+	borrowed := !granted && g.borrowRetry(ctx, name, request.Rank)
 	granted = granted || borrowed
 	g.logger.Info("retry asked for",
 		slog.String("Request", entry.RequestID(ctx)),
 		slog.String("Service", name),
 		slog.String("Outcome", failed.Outcome.String()),
 		slog.Int("Attempt", failed.Number),
+		slog.Int("Rank", request.Rank-1),
 		slog.Int("Begun", request.Amount),
 		slog.Duration("Over", request.Over),
 		slog.Bool("Granted", granted),
@@ -258,7 +265,8 @@
 }
 
 // borrowRetry asks the keepers of a service's retry budget in other zones for a retry.
-func (g *Gateway) borrowRetry(ctx context.Context, name string) bool {
+// The rank is as in decisionRequest.
+func (g *Gateway) borrowRetry(ctx context.Context, name string, rank int) bool {
 	st := g.state
 	for range meter.MaxLenders {
 		var keeper string
@@ -278,6 +286,7 @@
 		response, answered := g.askKeeper(ctx, instance.Address(keeper), decisionRequest{
 			Kind: retryBudget,
 			Name: name,
+			Rank: rank,
 		})
 		switch {
 		case response.Granted:
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -111,6 +111,16 @@
 			},
 			want: "08011007180222046465736b2803580068b009",
 		},
+		{
+			name: "ask with a rank",
+			m: decisionRequest{
+				Number: 7,
+				Kind:   retryBudget,
+				Name:   "desk",
+				Rank:   1,
+			},
+			want: "08011007180222046465736b28005800800101",
+		},
 		{
 			name: "ask for rate",
 			m: decisionRequest{
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -226,13 +226,15 @@
 	decision := st.budgets.Take(now, request.Name, meter.Begun{
 		Requests: request.Amount,
 		Over:     request.Over,
-	}, zones)
+	}, zones, takeOptions(request)...)
 	if !decision.Granted {
 		st.gateway.logger.Info("retry budget used up",
 			slog.String("Service", request.Name),
 			slog.Float64("Requests", decision.Requests),
 			slog.Float64("Retries", decision.Retries),
 			slog.Float64("Limit", decision.Limit),
+			slog.Int("Rank", request.Rank-1),
+			slog.Bool("Reserved", decision.Reserved),
 			slog.Duration("Age", now-st.startedAt))
 	}
 	return meter.Decision{
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -34,6 +34,9 @@
 	Amount int
 	// Over is the time over which Amount requests were begun, for a retry budget.
 	Over time.Duration
+	// Rank is that of the request to be retried plus one, for a retry budget. It is zero if no
+	// rank is told, as by earlier builds; the budget is then spent in order of arrival.
+	Rank int
 	// Forward tells the receiver to forward the request once if it knows another
 	// keeper.
 	Forward bool
@@ -239,7 +242,9 @@
 	fieldItem
 	fieldOver
 	fieldUnreached
-	lastField = fieldUnreached
+	_ // 15 is left to messages about slots
+	fieldRank
+	lastField = fieldRank
 )
 
 // partsPerMillion is the factor by which a fraction is multiplied to be sent as an
@@ -263,6 +268,9 @@
 	if m.Over > 0 {
 		b = appendNumber(b, fieldOver, uint64(m.Over.Milliseconds()))
 	}
+	if m.Rank > 0 {
+		b = appendNumber(b, fieldRank, uint64(m.Rank))
+	}
 	return b
 }
 
@@ -448,6 +456,7 @@
 			Name:    f.texts[fieldName],
 			Amount:  int(min(f.numbers[fieldAmount], math.MaxInt32)),
 			Over:    f.over(),
+			Rank:    int(min(f.numbers[fieldRank], math.MaxInt32)),
 			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
 			Origin:  instance.Address(f.texts[fieldService]),
 		}, nil
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -29,6 +29,15 @@
 				Over:   1200 * time.Millisecond,
 			},
 		},
+		{
+			name: "decision request with a rank",
+			m: decisionRequest{
+				Number: 7,
+				Kind:   retryBudget,
+				Name:   "desk",
+				Rank:   3,
+			},
+		},
 		{
 			name: "forwarded decision request",
 			m: decisionRequest{
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/target"
 )
 
@@ -52,6 +53,11 @@
 	TypicalDuration time.Duration
 	// Beside is set if the last attempt is still in progress, and another one would run beside it.
 	Beside bool
+	// Left is how long the caller still waits, for those who don't use Deadline.
+	Left time.Duration
+	// Organisation and Route are those of the request; Route may be nil.
+	Organisation string
+	Route        *document.Route
 	// Tried holds the names of the targets that were tried.
 	Tried []string
 }
