--- /dev/null
+++ b/internal/entry/severed_test.go
@@ -0,0 +1,47 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/standin"
+)
+
+// Guards against requests that wait for a kept connection to a target that has gone silent: a
+// read gets another attempt once its answer is overdue, on a new connection, and a write is sent
+// on a new connection from the start.
+func TestSilentTargetConnectionDelaysReadsOnly(t *testing.T) {
+	const overdue = 200 * time.Millisecond
+	is := is.New(t)
+	e := newTestEnv(t, 2)
+	var proxies []*standin.SeveringProxy
+	for i, s := range e.targets {
+		proxy, err := standin.NewSeveringProxy(s.Address())
+		is.NoErr(err)
+		t.Cleanup(proxy.Close)
+		proxies = append(proxies, proxy)
+		e.document.Services[0].Targets[i].Address = proxy.Address()
+	}
+	e.allowAttempts(2)
+	e.overdue = &overdueSettings{
+		wait:    overdue,
+		granted: true,
+	}
+	waitUntil(t, func() bool {
+		is.Equal(e.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+		return proxies[0].Accepted() > 0 && proxies[1].Accepted() > 0
+	})
+	for _, p := range proxies {
+		p.Sever()
+	}
+	began := time.Now()
+	is.Equal(e.call(http.MethodPost, "/bookings", "").status, http.StatusOK)
+	is.True(time.Since(began) < overdue)
+	began = time.Now()
+	is.Equal(e.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+	is.True(time.Since(began) >= overdue) // the connection was used
+	is.True(time.Since(began) < timeout)
+}
