--- a/internal/entry/severed_test.go
+++ b/internal/entry/severed_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"dandelionmux/internal/standin"
+	"dandelionmux/pkg/instance"
 )
 
 // Guards against requests that wait for a kept connection to a target that has gone silent: a
@@ -45,3 +46,43 @@
 	is.True(time.Since(began) >= overdue) // the connection was used
 	is.True(time.Since(began) < timeout)
 }
+
+// Guards against a relayed request whose connection to the other instance goes silent while it
+// runs: a read goes through another instance once it is overdue, and a write ends at its time.
+func TestSilentRelayedRequest(t *testing.T) {
+	tests := []struct {
+		method string
+		status int
+	}{
+		{http.MethodGet, http.StatusOK},
+		{http.MethodPost, http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.method, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := newRelayEnv(t, 2, 0)
+			e.overdue = &overdueSettings{
+				wait:    attemptOverdue,
+				granted: true,
+			}
+			e.relays.overdue = relayOverdue
+			var proxy *standin.SeveringProxy
+			helper := e.newHelper()
+			e.addHelper(func(w http.ResponseWriter, r *http.Request) {
+				proxy.Sever() // its answer is lost
+				helper(w, r)
+			})
+			proxy, err := standin.NewSeveringProxy(string(e.relays.helpers[0]))
+			is.NoErr(err)
+			t.Cleanup(proxy.Close)
+			e.relays.helpers[0] = instance.Address(proxy.Address())
+			e.addHelper(e.newHelper())
+			began := time.Now()
+			got := e.callRelayed(tt.method, "/bookings", "")
+			is.Equal(got.status, tt.status)
+			is.True(time.Since(began) < timeout+time.Second)
+			is.True(proxy.Accepted() == 1)
+		})
+	}
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -99,6 +99,36 @@
 	mu      sync.Mutex
 	blocked bool
 	calls   int
+	// severed is closed and replaced when the watches in progress go silent for good.
+	severed chan struct{}
+}
+
+// severWatches makes the watches in progress go silent for good. New ones work.
+func (d *storeClient) severWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.severed != nil {
+		close(d.severed)
+	}
+	d.severed = make(chan struct{})
+}
+
+// watch watches the store, unless it is severed.
+func (d *storeClient) watch(ctx context.Context, w store.Watch) (store.Answer, error) {
+	d.mu.Lock()
+	if d.severed == nil {
+		d.severed = make(chan struct{})
+	}
+	severed := d.severed
+	d.mu.Unlock()
+	answer, err := d.memory.watch(ctx, w)
+	select {
+	case <-severed:
+		<-ctx.Done()
+		return nil, errors.Wrap(store.ErrOutcomeUnknown, "watch severed")
+	default:
+		return answer, err
+	}
 }
 
 // setBlocked sets whether calls go unanswered.
@@ -124,7 +154,7 @@
 	}
 	m := d.memory
 	if w, ok := call.(store.Watch); ok {
-		return m.watch(ctx, w)
+		return d.watch(ctx, w)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
