--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -38,6 +38,9 @@
 	// is set if that is one that the target names.
 	Cold    bool
 	Limited bool
+	// Rank is that of the request to be retried plus one, for a retry budget. It is zero if no
+	// rank is told, as by earlier builds; the budget is then spent in order of arrival.
+	Rank int
 	// Forward tells the receiver to forward the request once if it knows another
 	// keeper.
 	Forward bool
@@ -251,7 +254,8 @@
 	// fieldBody holds the fields of messages about slots, which have numbers of their own:
 	// every decoded item has room for all fields up to lastField.
 	fieldBody
-	lastField = fieldBody
+	fieldRank
+	lastField = fieldRank
 )
 
 // partsPerMillion is the factor by which a fraction is multiplied to be sent as an
@@ -281,6 +285,9 @@
 	if m.Limited {
 		b = appendNumber(b, fieldGranted, protowire.EncodeBool(true))
 	}
+	if m.Rank > 0 {
+		b = appendNumber(b, fieldRank, uint64(m.Rank))
+	}
 	return b
 }
 
@@ -468,6 +475,7 @@
 			Over:    f.over(),
 			Cold:    protowire.DecodeBool(f.numbers[fieldUnreached]),
 			Limited: protowire.DecodeBool(f.numbers[fieldGranted]),
+			Rank:    int(min(f.numbers[fieldRank], math.MaxInt32)),
 			Forward: protowire.DecodeBool(f.numbers[fieldForward]),
 			Origin:  instance.Address(f.texts[fieldService]),
 		}, nil
--- a/internal/gateway/message_internal_test.go
+++ b/internal/gateway/message_internal_test.go
@@ -40,6 +40,15 @@
 				Limited: true,
 			},
 		},
+		{
+			name: "decision request with a rank",
+			m: decisionRequest{
+				Number: 7,
+				Kind:   retryBudget,
+				Name:   "desk",
+				Rank:   3,
+			},
+		},
 		{
 			name: "forwarded decision request",
 			m: decisionRequest{
