--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -466,11 +466,16 @@
 	return busy
 }
 
-// refuseExpired refuses the requests that can't be served any more. The caller must hold mu.
+// refuseExpired refuses the requests that can't be served any more, here or in another zone. The
+// caller must hold mu.
 func (st *localState) refuseExpired(now time.Duration, s *service) []outgoing {
 	var out []outgoing
 	capacity := st.capacity(now, s, nil)
 	for _, e := range s.allocation.queue.Expire(now, capacity) {
+		if messages, ok := st.forward(now, s, e.Value); ok {
+			out = append(out, messages...)
+			continue
+		}
 		out = append(out, st.refuse(now, s, e.Value, slotqueue.Refused{
 			Reason:     slotqueue.ReasonLate,
 			RetryAfter: s.allocation.queue.RetryAfter(now, e, capacity),
