Tell zones at once that slots are free after their requests were declined

A zone that has declined gets nothing for up to a second, and slots that become free meanwhile stay idle; and what other zones have free didn't count when the wait was estimated. A zone that has declined now reports its free slots as soon as there are any, the zone that waits asks for them at once, and the estimate counts what other zones have to spare.

--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -83,14 +83,18 @@
 	requestedAt time.Duration
 	// reportedAt is when the other zones' allocators last got a report.
 	reportedAt time.Duration
+	// declinedAt holds when a request of each zone was last declined that hasn't been told of
+	// free slots since.
+	declinedAt map[string]time.Duration
 }
 
 // allocated returns the service's part of the allocator, which begins with its first use.
 func (s *service) allocated() *allocation {
 	if s.allocation == nil {
 		s.allocation = &allocation{
-			queue:   slotqueue.New[*slotClaim](),
-			pending: map[*slotClaim]struct{}{},
+			queue:      slotqueue.New[*slotClaim](),
+			pending:    map[*slotClaim]struct{}{},
+			declinedAt: map[string]time.Duration{},
 		}
 	}
 	return s.allocation
@@ -230,16 +234,18 @@
 	return true
 }
 
-// capacity returns the service's capacity in this zone or, if it has no usable target here, what
-// other zones have free. c tells how long requests take before any has ended. The caller must hold
-// mu.
+// capacity returns the service's capacity in this zone and what other zones have free: requests that
+// wait here may be served there. c tells how long requests take before any has ended. The caller must
+// hold mu.
 func (st *localState) capacity(now time.Duration, s *service, c *slotClaim) slotqueue.Capacity {
 	capacity := slotqueue.Capacity{
 		Slots:       s.table.Room(now).Slots,
 		ServiceTime: s.allocation.slotTime,
 	}
-	if capacity.Slots == 0 {
-		capacity = st.remoteCapacity(now, s.name)
+	remote := st.remoteCapacity(now, s.name)
+	capacity.Slots += remote.Slots
+	if capacity.ServiceTime == 0 {
+		capacity.ServiceTime = remote.ServiceTime
 	}
 	if capacity.ServiceTime == 0 && c != nil {
 		capacity.ServiceTime = c.request.Expected
@@ -367,6 +373,7 @@
 	case claimForwarded:
 		// The instance has got a slot there, or the caller has left.
 		st.zoneLoads.Accepted(now, s.name, c.zone)
+		s.allocation.queue.Served(now, c.request.Rank)
 		delete(s.allocation.pending, c)
 	case claimGranted:
 		if !m.uncounted {
@@ -417,7 +424,7 @@
 	for _, e := range slices.Backward(passedOver) {
 		queue.PutBack(now, e)
 	}
-	return out
+	return append(out, st.reportRoom(now, s)...)
 }
 
 // wakeAllocator has runAllocator look at the requests that wait.
--- a/internal/gateway/format_internal_test.go
+++ b/internal/gateway/format_internal_test.go
@@ -382,6 +382,17 @@
 			},
 			want: "080e7a2a12046465736b9a010161a00114a80128b00127b80103c0018c01c801c096b102d0018092f401d801fa01",
 		},
+		{
+			name: "load of a zone with slots that are free again",
+			m: zoneLoadReport{
+				Report: zoneload.Report{
+					Service: "desk",
+					Zone:    "a",
+				},
+				Vacated: true,
+			},
+			want: "080e7a0d12046465736b9a010161e80101",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/slotmessage.go
+++ b/internal/gateway/slotmessage.go
@@ -106,6 +106,9 @@
 	// none.
 	EchoedAt time.Duration
 	HeldFor  time.Duration
+	// Vacated is set if the report comes because slots are free again after the sender has
+	// declined a request of the receiver's zone.
+	Vacated bool
 }
 
 func (slotRequest) message()    {}
@@ -145,6 +148,7 @@
 	slotFieldEchoedAt
 	slotFieldHeldFor
 	slotFieldUnused
+	slotFieldVacated
 )
 
 // slotBody builds a fieldBody. Its methods leave out fields that are zero.
@@ -229,6 +233,7 @@
 		b.micros(slotFieldSentAt, m.SentAt)
 		b.micros(slotFieldEchoedAt, m.EchoedAt)
 		b.micros(slotFieldHeldFor, m.HeldFor)
+		b.flag(slotFieldVacated, m.Vacated)
 		return b.datagram(zoneLoadType)
 	}
 	return nil
@@ -353,6 +358,8 @@
 			m.EchoedAt = wireMicros(v)
 		case slotFieldHeldFor:
 			m.HeldFor = wireMicros(v)
+		case slotFieldVacated:
+			m.Vacated = protowire.DecodeBool(v)
 		}
 		return nil
 	})
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -20,6 +20,8 @@
 	// heardTerm is the age up to which a report says that a zone has an allocator: two that are
 	// sent each second may be lost.
 	heardTerm = 3 * time.Second
+	// declinedTerm is how long a zone whose request was declined is told at once of free slots.
+	declinedTerm = time.Second
 	// maxForwards is how many waiting requests are forwarded to other zones at a time.
 	maxForwards = 32
 )
@@ -36,13 +38,14 @@
 	return st.zoneLoads.Zones(now, service, known)
 }
 
-// remoteCapacity returns what is free of a service in the zones whose allocators have reported
-// lately, at least one slot in each that has any. The caller must hold mu.
+// remoteCapacity returns what the zones whose allocators have reported lately have free of a service
+// beyond the needs of their own callers. A zone that has slots counts with at least one. The caller must
+// hold mu.
 func (st *localState) remoteCapacity(now time.Duration, service string) slotqueue.Capacity {
 	var capacity slotqueue.Capacity
 	for _, state := range st.zoneStates(now, service) {
 		if state.Age < heardTerm && state.Slots > 0 {
-			capacity.Slots += max(state.Slots-state.InUse, 1)
+			capacity.Slots += max(state.Spare(), 1)
 			capacity.ServiceTime = max(capacity.ServiceTime, state.ServiceTime)
 		}
 	}
@@ -190,9 +193,32 @@
 		return []outgoing{c.granted()}
 	}
 	st.gateway.count("Allocation.DeclinedRemote")
+	s.allocation.declinedAt[st.members[from].Zone] = now
 	return decline(from, c.request)
 }
 
+// reportRoom tells the zones whose requests were declined lately that slots are free: they would
+// otherwise learn it from the next periodic report, and leave the slots idle until then. The caller must
+// hold mu.
+func (st *localState) reportRoom(now time.Duration, s *service) []outgoing {
+	declinedAt := s.allocation.declinedAt
+	if len(declinedAt) == 0 {
+		return nil
+	}
+	report := st.zoneReport(now, s)
+	if report.Spare() == 0 {
+		return nil
+	}
+	var out []outgoing
+	for zone, at := range declinedAt {
+		delete(declinedAt, zone)
+		if now-at < declinedTerm {
+			out = append(out, st.zoneLoadTo(now, zone, report, true)...)
+		}
+	}
+	return out
+}
+
 // zoneReport returns the state of a service in this zone for the other zones. The caller must hold
 // mu.
 func (st *localState) zoneReport(now time.Duration, s *service) zoneload.Report {
@@ -238,33 +264,53 @@
 	s.allocation.reportedAt = now
 	var out []outgoing
 	for _, zone := range st.roster.ZoneNames() {
-		peer := st.allocatorIn(zone, s.name)
-		if zone == self.Zone || peer == "" {
-			continue
+		if zone != self.Zone {
+			out = append(out, st.zoneLoadTo(now, zone, report, false)...)
 		}
-		stamp := st.roundTrips.Stamp(now, string(peer))
-		out = append(out, outgoing{
-			to: peer,
-			m: zoneLoadReport{
-				Report:   report,
-				SentAt:   stamp.Sent,
-				EchoedAt: stamp.Echo,
-				HeldFor:  stamp.Held,
-			},
-		})
 	}
 	return out
 }
 
-// handleZoneLoad records the state of a service in another zone.
+// zoneLoadTo returns the report of a service to its allocator in another zone, if there is one. vacated is
+// as in zoneLoadReport. The caller must hold mu.
+func (st *localState) zoneLoadTo(now time.Duration, zone string, report zoneload.Report, vacated bool) []outgoing {
+	peer := st.allocatorIn(zone, report.Service)
+	if peer == "" {
+		return nil
+	}
+	stamp := st.roundTrips.Stamp(now, string(peer))
+	return []outgoing{{
+		to: peer,
+		m: zoneLoadReport{
+			Report:   report,
+			SentAt:   stamp.Sent,
+			EchoedAt: stamp.Echo,
+			HeldFor:  stamp.Held,
+			Vacated:  vacated,
+		},
+	}}
+}
+
+// handleZoneLoad records the state of a service in another zone, and asks for the slots that are free
+// there for the requests that wait here.
 func (g *Gateway) handleZoneLoad(from instance.Address, m zoneLoadReport) {
 	now := boot.Now()
-	g.state.withLock(func() {
-		g.state.roundTrips.Receive(now, m.Zone, string(from), zoneload.Stamp{
+	var out []outgoing
+	st := g.state
+	st.withLock(func() {
+		st.roundTrips.Receive(now, m.Zone, string(from), zoneload.Stamp{
 			Sent: m.SentAt,
 			Echo: m.EchoedAt,
 			Held: m.HeldFor,
 		})
-		g.state.zoneLoads.Receive(now, m.Report)
+		if m.Vacated {
+			st.zoneLoads.Vacated(now, m.Report)
+		} else {
+			st.zoneLoads.Receive(now, m.Report)
+		}
+		if s := st.services[m.Service]; s != nil && s.isBusy() {
+			out = st.forwardWaiting(now, s)
+		}
 	})
+	g.post(out...)
 }
--- a/pkg/zoneload/zoneload.go
+++ b/pkg/zoneload/zoneload.go
@@ -70,6 +70,16 @@
 	t.record(now, r.Service, r.Zone).receive(now, r, t.trips.Estimate(now, r.Zone))
 }
 
+// Vacated records a report that a zone sends because slots are free again after it has declined a
+// request. It ends the pauses after requests that were declined.
+func (t *Table) Vacated(now time.Duration, r Report) {
+	if r.Zone == t.zone {
+		return
+	}
+	t.Receive(now, r)
+	t.record(now, r.Service, r.Zone).pausedUntil = now
+}
+
 // Sent records that one request was sent to a zone.
 func (t *Table) Sent(now time.Duration, service, zone string) {
 	t.record(now, service, zone).send(now)
@@ -156,7 +166,7 @@
 	burst burst
 	// declines counts the bursts in a row of which nothing was accepted.
 	declines int
-	// declinedUntil ends with the next report, pausedUntil doesn't.
+	// declinedUntil ends with the next report, pausedUntil only with one that slots are free again.
 	declinedUntil time.Duration
 	pausedUntil   time.Duration
 }
--- a/pkg/zoneload/zoneload_test.go
+++ b/pkg/zoneload/zoneload_test.go
@@ -442,3 +442,19 @@
 		})
 	}
 }
+
+// Guards against slots that stay idle in one zone while requests wait in another that it has declined.
+func TestReportOfFreeSlotsEndsThePauses(t *testing.T) {
+	is := is.New(t)
+	table := zoneload.New("a")
+	for i := range 2 {
+		now := begin + time.Duration(i)*200*time.Millisecond
+		table.Sent(now, "search", "b")
+		table.Declined(now, "search", "b")
+	}
+	now := begin + 400*time.Millisecond
+	table.Receive(now, report(20, 10))
+	is.Equal(free(table, now), 0)
+	table.Vacated(now, report(20, 10))
+	is.Equal(free(table, now), 9)
+}
