--- a/pkg/outlier/grant.go
+++ b/pkg/outlier/grant.go
@@ -77,8 +77,11 @@
 }
 
 // leastLoaded returns the candidate with the least load among those with a free slot, a random
-// one of several, or nil if there is none.
+// one of several, or nil if there is none. Each recent error of a target counts as a request in
+// flight: a target that fails its requests at once would otherwise always be the least loaded, and
+// get most of them.
 func (t *Table) leastLoaded(now time.Duration, candidates []*targetState) *targetState {
+	t.dropOldErrors(now)
 	var best *targetState
 	var bestLoad float64
 	ties := 0
@@ -86,7 +89,7 @@
 		if s.inUse(now) >= s.Slots {
 			continue
 		}
-		load := s.load(now)
+		load := s.load(now) + float64(s.errorCount)/float64(max(s.Slots, 1))
 		switch {
 		case best == nil || load < bestLoad:
 			best, bestLoad, ties = s, load, 1
