Hold a target at its allocator only if the allocator takes it for limited, too

Instances whose links are impaired take all targets they can't reach for cold; the keeper refuses them permits at first, and the refusal held the sound target for the whole zone. Targets that are cold are granted only if no other has a free slot.

--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -10,6 +10,7 @@
 	"dandelionmux/internal/boot"
 	slotqueue "dandelionmux/pkg/admission"
 	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/outlier"
 )
 
@@ -379,7 +380,7 @@
 		if !m.uncounted {
 			s.table.Ungrant(now, st.grantee(from, 0, c.remote), c.target)
 		}
-		if m.Hold > 0 {
+		if m.Hold > 0 && st.isLimited(now, s, c.target) {
 			s.table.HoldFor(now+m.Hold, c.target)
 		}
 		if !m.Unused {
@@ -389,6 +390,12 @@
 	return st.serveWaiting(now, s)
 }
 
+// isLimited reports whether this instance, too, takes the target for one that limits its requests. An
+// instance that has lost its links takes sound targets for cold ones. The caller must hold mu.
+func (st *localState) isLimited(now time.Duration, s *service, name string) bool {
+	return st.targetLimits.Limit(name).Kind == meter.Limited || st.warmUps.Cold(now, name, st.warmUpPolicy(s.name))
+}
+
 // recordSlotTime records for how long a slot was used.
 func (al *allocation) recordSlotTime(d time.Duration) {
 	if al.slotTime == 0 {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -534,6 +534,9 @@
 				unreachedReportAt:    map[string]time.Duration{},
 			}
 			st.services[name].table.SetEvacuated(st.isEvacuated)
+			st.services[name].table.SetCold(func(now time.Duration, target string) bool {
+				return st.warmUps.Cold(now, target, st.warmUpPolicy(name))
+			})
 			st.services[name].table.Update(now, list)
 		}
 	}
--- a/pkg/outlier/failing_test.go
+++ b/pkg/outlier/failing_test.go
@@ -43,3 +43,15 @@
 	is.True(ok)
 	is.Equal(chosen.Name, "desk-00") // its errors no longer count
 }
+
+// Guards against grants of targets that warm up, which need permits, while others have free slots.
+func TestTargetThatWarmsUpIsGrantedLast(t *testing.T) {
+	is := is.New(t)
+	table := newTable(6) // two targets of the own zone, with six slots each
+	table.SetCold(func(_ time.Duration, name string) bool { return name == "desk-00" })
+	for n := range 12 {
+		chosen, ok := table.Grant(now, peer, outlier.Request{})
+		is.True(ok)
+		is.Equal(chosen.Name == "desk-00", n >= 6)
+	}
+}
--- a/pkg/outlier/grant.go
+++ b/pkg/outlier/grant.go
@@ -12,6 +12,10 @@
 // 100 ms once it has used up its processor time.
 const reportLag = 100 * time.Millisecond
 
+// coldLoad is added to the load of a target that warms up. It exceeds the load of other targets with a
+// free slot and some recent errors.
+const coldLoad = 4
+
 // Grantee is the instance that a target is granted to.
 type Grantee struct {
 	// Instance is the instance's address; empty for the table's own instance, whose requests
@@ -90,6 +94,9 @@
 			continue
 		}
 		load := s.load(now) + float64(s.errorCount)/float64(max(s.Slots, 1))
+		if t.isCold(now, s.Name) {
+			load += coldLoad
+		}
 		switch {
 		case best == nil || load < bestLoad:
 			best, bestLoad, ties = s, load, 1
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -81,8 +81,10 @@
 	// rests holds until when targets rest, by name, also while they aren't in the list: their
 	// registration may lapse and come back.
 	rests map[string]targetRest
-	// isEvacuated reports whether the targets of a zone get no requests.
+	// isEvacuated reports whether the targets of a zone get no requests, and isCold whether a
+	// target warms up.
 	isEvacuated func(zone string) bool
+	isCold      func(now time.Duration, name string) bool
 }
 
 // targetRest is until when a target at an address rests.
@@ -191,6 +193,7 @@
 		rests:   map[string]targetRest{},
 
 		isEvacuated: func(string) bool { return false },
+		isCold:      func(time.Duration, string) bool { return false },
 	}
 }
 
@@ -198,6 +201,10 @@
 // all, not even if the others are too few. By default no zone is evacuated.
 func (t *Table) SetEvacuated(isEvacuated func(zone string) bool) { t.isEvacuated = isEvacuated }
 
+// SetCold sets the function that reports whether a target warms up. Such a target is granted only if
+// no other has a free slot.
+func (t *Table) SetCold(isCold func(now time.Duration, name string) bool) { t.isCold = isCold }
+
 // outOfUse reports whether a target gets no requests until its registration or an operator says
 // otherwise.
 func (t *Table) outOfUse(s *targetState) bool { return s.Leaving || t.isEvacuated(s.Zone) }
