--- a/pkg/spillover/spillover.go
+++ b/pkg/spillover/spillover.go
@@ -10,6 +10,9 @@
 	// equalGain is the difference of gains below which zones count as equal. Round trips
 	// between zones vary by as much from one report to the next.
 	equalGain = 2 * time.Millisecond
+	// minimumGain is the least gain that is worth the price of traffic between zones, as a
+	// fraction of the request's objective.
+	minimumGain = 0.1
 )
 
 // Reasons of decisions, for logs and metrics.
@@ -79,11 +82,11 @@
 		return Stay{Reason: ReasonNoTime}
 	}
 	best := choose(free, o.draw)
-	return weigh(h, r, best, o.minimumGain)
+	return weigh(h, r, best)
 }
 
 // weigh compares the home zone with another that serves the request in time.
-func weigh(h Home, r Request, z Zone, minimumGain float64) Decision {
+func weigh(h Home, r Request, z Zone) Decision {
 	home := h.Wait + r.ServiceTime
 	there := timeAt(z, r)
 	leave := Leave{
