zoneload: condense the tests and drop an unused option

The tests shrink from 542 to 346 lines: tables with a case a line, bursts of requests as data instead of functions, and constructors for tables. All cases and expected values remain.

The test now gets its round trip of 40 ms from a received echo.

--- a/pkg/zoneload/roundtrip.go
+++ b/pkg/zoneload/roundtrip.go
@@ -34,10 +34,9 @@
 // RoundTrips estimates the round trips to other zones. Only differences of times of the same clock
 // count, so that the instances' clocks needn't agree.
 type RoundTrips struct {
-	standard time.Duration
-	zones    map[string]estimate
-	peers    map[string]echo
-	swept    time.Duration
+	zones map[string]estimate
+	peers map[string]echo
+	swept time.Duration
 }
 
 type estimate struct {
@@ -50,25 +49,12 @@
 	received time.Duration
 }
 
-// TripOption configures RoundTrips.
-type TripOption func(*RoundTrips)
-
-// WithDefault sets the round trip that is assumed until one was measured. The default is 20 ms.
-func WithDefault(d time.Duration) TripOption {
-	return func(r *RoundTrips) { r.standard = d }
-}
-
 // NewRoundTrips returns estimates without samples.
-func NewRoundTrips(options ...TripOption) *RoundTrips {
-	r := &RoundTrips{
-		standard: defaultRoundTrip,
-		zones:    make(map[string]estimate),
-		peers:    make(map[string]echo),
-	}
-	for _, o := range options {
-		o(r)
+func NewRoundTrips() *RoundTrips {
+	return &RoundTrips{
+		zones: make(map[string]estimate),
+		peers: make(map[string]echo),
 	}
-	return r
 }
 
 // Receive records the stamp of a message from a peer, an instance in a zone.
@@ -114,9 +100,9 @@
 	e, known := r.zones[zone]
 	switch age := now - e.taken; {
 	case !known || age >= forgottenAfter:
-		return r.standard
+		return defaultRoundTrip
 	case age >= staleAfter:
-		return max(e.mean, r.standard)
+		return max(e.mean, defaultRoundTrip)
 	default:
 		return e.mean
 	}
--- a/pkg/zoneload/roundtrip_test.go
+++ b/pkg/zoneload/roundtrip_test.go
@@ -39,43 +39,17 @@
 		after time.Duration
 		want  time.Duration
 	}{
-		{
-			name:  "short, stale",
-			trip:  8 * time.Millisecond,
-			after: 10 * time.Second,
-			want:  20 * time.Millisecond,
-		},
-		{
-			name:  "long, stale",
-			trip:  80 * time.Millisecond,
-			after: 10 * time.Second,
-			want:  80 * time.Millisecond,
-		},
-		{
-			name:  "forgotten",
-			trip:  80 * time.Millisecond,
-			after: time.Minute,
-			want:  20 * time.Millisecond,
-		},
-		{
-			name: "echo of another clock, too long ago",
-			trip: 2 * time.Second,
-			want: 20 * time.Millisecond,
-		},
-		{
-			name: "echo of another clock, in the future",
-			trip: -time.Second,
-			want: 20 * time.Millisecond,
-		},
+		{name: "short, stale", trip: 8 * time.Millisecond, after: 10 * time.Second, want: 20 * time.Millisecond},
+		{name: "long, stale", trip: 80 * time.Millisecond, after: 10 * time.Second, want: 80 * time.Millisecond},
+		{name: "forgotten", trip: 80 * time.Millisecond, after: time.Minute, want: 20 * time.Millisecond},
+		{name: "echo of another clock, too long ago", trip: 2 * time.Second, want: 20 * time.Millisecond},
+		{name: "echo of another clock, in the future", trip: -time.Second, want: 20 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := zoneload.NewRoundTrips()
-			r.Receive(begin, "b", "b:1", zoneload.Stamp{
-				Sent: time.Hour,
-				Echo: begin - tt.trip,
-			})
+			r.Receive(begin, "b", "b:1", zoneload.Stamp{Sent: time.Hour, Echo: begin - tt.trip})
 			is.Equal(r.Estimate(begin+tt.after, "b"), tt.want)
 		})
 	}
--- a/pkg/zoneload/zoneload_test.go
+++ b/pkg/zoneload/zoneload_test.go
@@ -15,13 +15,22 @@
 )
 
 func report(slots, inUse int) zoneload.Report {
-	return zoneload.Report{
-		Service:     "search",
-		Zone:        "b",
-		Targets:     slots,
-		Slots:       slots,
-		InUse:       inUse,
-		ServiceTime: serviceTime,
+	return zoneload.Report{Service: "search", Zone: "b", Targets: slots, Slots: slots, InUse: inUse, ServiceTime: serviceTime}
+}
+
+// newTable returns zone a's table, which received the reports at begin.
+func newTable(reports ...zoneload.Report) *zoneload.Table {
+	table := zoneload.New("a")
+	for _, r := range reports {
+		table.Receive(begin, r)
+	}
+	return table
+}
+
+// times calls a method of a table n times for the service in zone b.
+func times(n int, event func(now time.Duration, service, zone string), now time.Duration) {
+	for range n {
+		event(now, "search", "b")
 	}
 }
 
@@ -38,41 +47,12 @@
 		waiting int
 		want    int
 	}{
-		{
-			name:  "reserve of one slot in 20",
-			slots: 100,
-			inUse: 50,
-			want:  45,
-		},
-		{
-			name:  "reserve of one slot at least",
-			slots: 4,
-			inUse: 1,
-			want:  2,
-		},
-		{
-			name:  "only the reserve is free",
-			slots: 4,
-			inUse: 3,
-			want:  0,
-		},
-		{
-			name:    "own callers wait",
-			slots:   40,
-			inUse:   30,
-			waiting: 5,
-			want:    3,
-		},
-		{
-			name:  "more in use than there are slots, after targets were lost",
-			slots: 4,
-			inUse: 9,
-			want:  0,
-		},
-		{
-			name: "no targets",
-			want: 0,
-		},
+		{name: "reserve of one slot in 20", slots: 100, inUse: 50, want: 45},
+		{name: "reserve of one slot at least", slots: 4, inUse: 1, want: 2},
+		{name: "only the reserve is free", slots: 4, inUse: 3, want: 0},
+		{name: "own callers wait", slots: 40, inUse: 30, waiting: 5, want: 3},
+		{name: "more in use than there are slots, after targets were lost", slots: 4, inUse: 9, want: 0},
+		{name: "no targets", want: 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -80,9 +60,7 @@
 			r := report(tt.slots, tt.inUse)
 			r.Waiting = tt.waiting
 			is.Equal(r.Spare(), tt.want)
-			table := zoneload.New("a")
-			table.Receive(begin, r)
-			is.Equal(free(table, begin), tt.want)
+			is.Equal(free(newTable(r), begin), tt.want)
 		})
 	}
 }
@@ -90,12 +68,9 @@
 // Guards against sending a zone more than it has free between two of its reports.
 func TestSentCountsAgainstFree(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 10))
+	table := newTable(report(20, 10))
 	is.Equal(free(table, begin), 9)
-	for range 9 {
-		table.Sent(begin, "search", "b")
-	}
+	times(9, table.Sent, begin)
 	is.Equal(free(table, begin+time.Millisecond), 0)
 	table.Sent(begin, "search", "b")
 	is.Equal(free(table, begin+time.Millisecond), 0)
@@ -110,26 +85,14 @@
 		inUse         int
 		before, after int // free slots while the nine requests are there, and when they have ended
 	}{
-		{
-			name:  "included in the report",
-			inUse: 19,
-			after: 9,
-		},
-		{
-			name:   "some ended before the report",
-			inUse:  6,
-			before: 13,
-			after:  19,
-		},
+		{name: "included in the report", inUse: 19, after: 9},
+		{name: "some ended before the report", inUse: 6, before: 13, after: 19},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			table := zoneload.New("a")
-			table.Receive(begin, report(20, 10))
-			for range 9 {
-				table.Sent(begin, "search", "b")
-			}
+			table := newTable(report(20, 10))
+			times(9, table.Sent, begin)
 			table.Receive(begin+50*time.Millisecond, report(20, tt.inUse))
 			is.Equal(free(table, begin+100*time.Millisecond), tt.before)
 			is.Equal(free(table, begin+150*time.Millisecond), tt.after)
@@ -140,7 +103,8 @@
 // Guards against requests that are on their way while a report is counting as neither.
 func TestReportDoesNotIncludeWhatIsOnItsWay(t *testing.T) {
 	is := is.New(t)
-	trips := zoneload.NewRoundTrips(zoneload.WithDefault(40 * time.Millisecond))
+	trips := zoneload.NewRoundTrips()
+	trips.Receive(begin, "b", "b:1", zoneload.Stamp{Echo: begin - 40*time.Millisecond})
 	table := zoneload.New("a", zoneload.WithRoundTrips(trips))
 	table.Sent(begin, "search", "b")
 	table.Sent(begin+30*time.Millisecond, "search", "b")
@@ -151,15 +115,10 @@
 // Guards against what a zone may get depending on reports that were replaced.
 func TestLaterReportReplacesEarlier(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 0))
+	table := newTable(report(20, 0))
 	table.Receive(begin+250*time.Millisecond, report(40, 38))
 	s := table.Zones(begin+300*time.Millisecond, "search", []string{"b"})[0]
-	is.Equal(s, zoneload.State{
-		Report: report(40, 38),
-		Age:    50 * time.Millisecond,
-		Free:   0,
-	})
+	is.Equal(s, zoneload.State{Report: report(40, 38), Age: 50 * time.Millisecond, Free: 0})
 }
 
 // Guards against an old report being believed, and against a zone that is never used again because its
@@ -171,55 +130,18 @@
 		age   time.Duration
 		want  int
 	}{
-		{
-			name: "fresh",
-			want: 95,
-		},
-		{
-			name: "the next is not overdue yet",
-			age:  time.Second,
-			want: 95,
-		},
-		{
-			name: "overdue by an interval",
-			age:  2050 * time.Millisecond,
-			want: 48,
-		},
-		{
-			name: "overdue by five intervals",
-			age:  6050 * time.Millisecond,
-			want: 3,
-		},
-		{
-			name: "nearly forgotten",
-			age:  59 * time.Second,
-			want: 1,
-		},
-		{
-			name:  "short of slots: overdue by an interval of 250 ms",
-			inUse: 80,
-			age:   550 * time.Millisecond,
-			want:  8,
-		},
-		{
-			name:  "full",
-			inUse: 100,
-			age:   2900 * time.Millisecond,
-			want:  0,
-		},
-		{
-			name:  "full, long ago",
-			inUse: 100,
-			age:   3 * time.Second,
-			want:  1,
-		},
+		{name: "fresh", want: 95},
+		{name: "the next is not overdue yet", age: time.Second, want: 95},
+		{name: "overdue by an interval", age: 2050 * time.Millisecond, want: 48},
+		{name: "overdue by five intervals", age: 6050 * time.Millisecond, want: 3},
+		{name: "nearly forgotten", age: 59 * time.Second, want: 1},
+		{name: "short of slots: overdue by an interval of 250 ms", inUse: 80, age: 550 * time.Millisecond, want: 8},
+		{name: "full", inUse: 100, age: 2900 * time.Millisecond, want: 0},
+		{name: "full, long ago", inUse: 100, age: 3 * time.Second, want: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			table := zoneload.New("a")
-			table.Receive(begin, report(100, tt.inUse))
-			is.Equal(free(table, begin+tt.age), tt.want)
+			is.New(t).Equal(free(newTable(report(100, tt.inUse)), begin+tt.age), tt.want)
 		})
 	}
 }
@@ -227,7 +149,7 @@
 // Guards against flooding a zone of which nothing is known, and against never trying it.
 func TestUnheardZoneGetsOneRequestAtATime(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
+	table := newTable()
 	s := table.Zones(begin, "search", []string{"a", "b"})
 	is.Equal(len(s), 1)
 	is.Equal(s[0].Zone, "b")
@@ -241,8 +163,7 @@
 // Guards against sending more requests in vain to a zone that declines.
 func TestDeclinedZoneIsPaused(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 10))
+	table := newTable(report(20, 10))
 	table.Sent(begin, "search", "b")
 	table.Declined(begin, "search", "b")
 	is.Equal(free(table, begin+99*time.Millisecond), 0)
@@ -256,89 +177,39 @@
 // a pause of a second for a zone that accepts most requests.
 func TestTwoDeclinedInARowPauseForASecond(t *testing.T) {
 	const step = 200 * time.Millisecond
+	type burst struct {
+		before                   time.Duration
+		sent, declined, accepted int
+	}
 	tests := []struct {
 		name   string
-		events func(t *zoneload.Table, now time.Duration)
+		bursts []burst
 		want   int
 	}{
+		{name: "two in a row", bursts: []burst{{before: step, sent: 1, declined: 1}, {sent: 1, declined: 1}}, want: 0},
+		{name: "bursts in a row, of which nothing is answered", bursts: []burst{{before: step, sent: 2, declined: 2}, {sent: 2, declined: 1}}, want: 0},
+		{name: "two that were in flight together", bursts: []burst{{sent: 2, declined: 2}}, want: 9},
+		{name: "one accepted with the first", bursts: []burst{{before: step, sent: 2, declined: 1}, {sent: 1, declined: 1}}, want: 9},
 		{
-			name: "two in a row",
-			events: func(t *zoneload.Table, now time.Duration) {
-				t.Sent(now-step, "search", "b")
-				t.Declined(now-step, "search", "b")
-				t.Sent(now, "search", "b")
-				t.Declined(now, "search", "b")
-			},
-			want: 0,
-		},
-		{
-			name: "bursts in a row, of which nothing is answered",
-			events: func(t *zoneload.Table, now time.Duration) {
-				for range 2 {
-					t.Sent(now-step, "search", "b")
-				}
-				for range 2 {
-					t.Declined(now-step, "search", "b")
-				}
-				for range 2 {
-					t.Sent(now, "search", "b")
-				}
-				t.Declined(now, "search", "b")
-			},
-			want: 0,
-		},
-		{
-			name: "two that were in flight together",
-			events: func(t *zoneload.Table, now time.Duration) {
-				for range 2 {
-					t.Sent(now, "search", "b")
-				}
-				for range 2 {
-					t.Declined(now, "search", "b")
-				}
-			},
-			want: 9,
-		},
-		{
-			name: "one accepted with the first",
-			events: func(t *zoneload.Table, now time.Duration) {
-				for range 2 {
-					t.Sent(now-step, "search", "b")
-				}
-				t.Declined(now-step, "search", "b")
-				t.Sent(now, "search", "b")
-				t.Declined(now, "search", "b")
-			},
-			want: 9,
-		},
-		{
-			name: "one accepted before the second",
-			events: func(t *zoneload.Table, now time.Duration) {
-				t.Sent(now-2*step, "search", "b")
-				t.Declined(now-2*step, "search", "b")
-				t.Sent(now-step, "search", "b")
-				t.Sent(now, "search", "b")
-				t.Declined(now, "search", "b")
-			},
-			want: 9,
+			name:   "one accepted before the second",
+			bursts: []burst{{before: 2 * step, sent: 1, declined: 1}, {before: step, sent: 1}, {sent: 1, declined: 1}},
+			want:   9,
 		},
 		{
-			name: "one said to be accepted",
-			events: func(t *zoneload.Table, now time.Duration) {
-				t.Sent(now-step, "search", "b")
-				t.Declined(now-step, "search", "b")
-				t.Accepted(now-step, "search", "b")
-				t.Sent(now, "search", "b")
-				t.Declined(now, "search", "b")
-			},
-			want: 9,
+			name:   "one said to be accepted",
+			bursts: []burst{{before: step, sent: 1, declined: 1, accepted: 1}, {sent: 1, declined: 1}},
+			want:   9,
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			table := zoneload.New("a")
-			tt.events(table, begin)
+			table := newTable()
+			for _, e := range tt.bursts {
+				times(e.sent, table.Sent, begin-e.before)
+				times(e.declined, table.Declined, begin-e.before)
+				times(e.accepted, table.Accepted, begin-e.before)
+			}
 			table.Receive(begin+500*time.Millisecond, report(20, 10))
 			is.Equal(free(table, begin+999*time.Millisecond), tt.want)
 			is.Equal(free(table, begin+time.Second), 9)
@@ -350,8 +221,7 @@
 // believes reports of itself.
 func TestServicesAreSeparate(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 10))
+	table := newTable(report(20, 10))
 	table.Sent(begin, "orders", "b")
 	table.Declined(begin, "orders", "b")
 	is.Equal(free(table, begin), 9)
@@ -364,8 +234,7 @@
 // Guards against memory that grows with services and zones that are gone.
 func TestForgetsWhatIsGone(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
-	table.Receive(begin, report(20, 10))
+	table := newTable(report(20, 10))
 	table.Sent(begin, "orders", "c")
 	table.Retain(func(_, zone string) bool { return zone == "b" })
 	is.Equal(table.Len(), 1)
@@ -386,52 +255,13 @@
 		since   time.Duration
 		want    bool
 	}{
-		{
-			name:  "calm",
-			slots: 20,
-			inUse: 15,
-			since: 999 * time.Millisecond,
-			want:  false,
-		},
-		{
-			name:  "calm, after a second",
-			slots: 20,
-			inUse: 15,
-			since: time.Second,
-			want:  true,
-		},
-		{
-			name:  "less than a quarter free",
-			slots: 20,
-			inUse: 16,
-			since: 250 * time.Millisecond,
-			want:  true,
-		},
-		{
-			name:  "less than a quarter free, too early",
-			slots: 20,
-			inUse: 16,
-			since: 249 * time.Millisecond,
-			want:  false,
-		},
-		{
-			name:    "requests wait without any target",
-			waiting: 1,
-			since:   250 * time.Millisecond,
-			want:    true,
-		},
-		{
-			name:  "no target and no request",
-			since: 250 * time.Millisecond,
-			want:  false,
-		},
-		{
-			name:  "neither traffic nor use by another zone",
-			slots: 20,
-			idle:  true,
-			since: time.Hour,
-			want:  false,
-		},
+		{name: "calm", slots: 20, inUse: 15, since: 999 * time.Millisecond, want: false},
+		{name: "calm, after a second", slots: 20, inUse: 15, since: time.Second, want: true},
+		{name: "less than a quarter free", slots: 20, inUse: 16, since: 250 * time.Millisecond, want: true},
+		{name: "less than a quarter free, too early", slots: 20, inUse: 16, since: 249 * time.Millisecond, want: false},
+		{name: "requests wait without any target", waiting: 1, since: 250 * time.Millisecond, want: true},
+		{name: "no target and no request", since: 250 * time.Millisecond, want: false},
+		{name: "neither traffic nor use by another zone", slots: 20, idle: true, since: time.Hour, want: false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -446,7 +276,7 @@
 // Guards against slots that stay idle in one zone while requests wait in another that it has declined.
 func TestReportOfFreeSlotsEndsThePauses(t *testing.T) {
 	is := is.New(t)
-	table := zoneload.New("a")
+	table := newTable()
 	for i := range 2 {
 		now := begin + time.Duration(i)*200*time.Millisecond
 		table.Sent(now, "search", "b")
