warmup: condense the tests

The loads of TestColdTargetGetsNoMoreThanBound send the same number of requests as before. No case is removed.

--- a/pkg/warmup/warmup_test.go
+++ b/pkg/warmup/warmup_test.go
@@ -10,12 +10,7 @@
 )
 
 // policy has a bound of 13.55 requests in any one second.
-var policy = warmup.Policy{
-	Duration:  10 * time.Second,
-	PerSecond: 3.7,
-	Overage:   1.5,
-	Slack:     8,
-}
+var policy = warmup.Policy{Duration: 10 * time.Second, PerSecond: 3.7, Overage: 1.5, Slack: 8}
 
 const (
 	tick  = 5 * time.Millisecond
@@ -79,76 +74,49 @@
 // fleet knew that the target is cold.
 func TestColdTargetGetsNoMoreThanBound(t *testing.T) {
 	const instances = 6
-	halves := func(_ time.Duration, i int) int { return i % 2 }
 	first := func(time.Duration, int) int { return 0 }
+	halves := func(_ time.Duration, i int) int { return i % 2 }
+	replaced := func(now time.Duration, _ int) int { return int(now/(700*time.Millisecond)) % 2 }
+	// The first instance doesn't know of the others, of which the latest is the keeper.
+	latest := func(now time.Duration, i int) int {
+		return min(int((now-start)/(2*time.Second)), i*instances, instances-1)
+	}
 	tests := []struct {
 		name   string
 		keeper func(now time.Duration, i int) int
-		// learnsAt returns when an instance learns that the target is cold. It has come back
-		// at start, before any of them.
-		learnsAt func(i int) time.Duration
-		// startsAt returns when an instance starts.
-		startsAt func(i int) time.Duration
+		// learnsAfter is the time after start at which the first instance learns that the
+		// target is cold, and each how much later the next does. The target has come back at
+		// start, before any of them.
+		learnsAfter, each time.Duration
+		startsLate        bool // each instance starts when it learns
 		// from is when requests begin to count.
 		from time.Duration
 	}{
+		{name: "one keeper", keeper: first},
+		{name: "two keepers", keeper: halves},
+		{name: "keeper replaced again and again", keeper: replaced},
+		{name: "instances that start late are keepers", keeper: latest, each: 2 * time.Second, startsLate: true},
 		{
-			name:     "one keeper",
-			keeper:   first,
-			learnsAt: func(int) time.Duration { return start },
-		},
-		{
-			name:     "two keepers",
-			keeper:   halves,
-			learnsAt: func(int) time.Duration { return start },
-		},
-		{
-			name: "keeper replaced again and again",
-			keeper: func(now time.Duration, _ int) int {
-				return int(now/(700*time.Millisecond)) % 2
-			},
-			learnsAt: func(int) time.Duration { return start },
-		},
-		{
-			// The first instance doesn't know of the others, of which the latest is the keeper.
-			name: "instances that start late are keepers",
-			keeper: func(now time.Duration, i int) int {
-				return min(int((now-start)/(2*time.Second)), i*instances, instances-1)
-			},
-			learnsAt: func(i int) time.Duration { return start + time.Duration(i)*2*time.Second },
-			startsAt: func(i int) time.Duration { return start + time.Duration(i)*2*time.Second },
-		},
-		{
-			name:   "usual load until told",
-			keeper: halves,
-			learnsAt: func(i int) time.Duration {
-				return start + 2*time.Second + time.Duration(i)*50*time.Millisecond
-			},
+			name:        "usual load until told",
+			keeper:      halves,
+			learnsAfter: 2 * time.Second,
+			each:        50 * time.Millisecond,
 			// Requests that were sent before any instance could know can't be limited.
 			from: start + 2*time.Second + (instances-1)*50*time.Millisecond,
 		},
-		{
-			name:   "keepers learn last",
-			keeper: halves,
-			learnsAt: func(i int) time.Duration {
-				return start + 2*time.Second - time.Duration(i)*50*time.Millisecond
-			},
-			from: start + 2*time.Second,
-		},
+		{name: "keepers learn last", keeper: halves, learnsAfter: 2 * time.Second, each: -50 * time.Millisecond, from: start + 2*time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			f := &fleet{
-				limiters: make([]*warmup.Limiter, instances),
-				keeper:   tt.keeper,
-			}
+			f := &fleet{limiters: make([]*warmup.Limiter, instances), keeper: tt.keeper}
 			for now := start; now < start+12*time.Second; now += tick {
 				for i := range f.limiters {
-					if f.limiters[i] == nil && (tt.startsAt == nil || now >= tt.startsAt(i)) {
+					learnsAt := start + tt.learnsAfter + time.Duration(i)*tt.each
+					if f.limiters[i] == nil && (!tt.startsLate || now >= learnsAt) {
 						f.limiters[i] = warmup.NewLimiter()
 					}
-					if now == tt.learnsAt(i) {
+					if now == learnsAt {
 						f.limiters[i].Registered(now, "desk-1", 2, 30*time.Second, policy)
 					}
 				}
@@ -168,179 +136,117 @@
 	}
 }
 
-// Guards against a keeper that grants more than the target tolerates on average, or far less.
-func TestKeeperGrantsRateOnAverage(t *testing.T) {
-	is := is.New(t)
-	l := warmup.NewLimiter()
+// takeAll asks for a permit at each tick from one time until another, and returns how many it gets.
+func takeAll(l *warmup.Limiter, from, until time.Duration) int {
 	granted := 0
-	for now := start; now < start+60*time.Second; now += tick {
+	for now := from; now < until; now += tick {
 		if l.Take(now, "desk-1", policy).Granted {
 			granted++
 		}
 	}
-	is.True(float64(granted) <= 60*policy.PerSecond)
-	is.True(float64(granted) >= 60*policy.PerSecond*0.9)
+	return granted
+}
+
+// Guards against a keeper that grants more than the target tolerates on average, or far less.
+func TestKeeperGrantsRateOnAverage(t *testing.T) {
+	is := is.New(t)
+	granted := float64(takeAll(warmup.NewLimiter(), start, start+60*time.Second))
+	is.True(granted <= 60*policy.PerSecond)
+	is.True(granted >= 60*policy.PerSecond*0.9)
 }
 
+// change is something that a limiter learns.
+type change func(l *warmup.Limiter, p warmup.Policy)
+
+func registered(at time.Duration, incarnation int64, remaining time.Duration) change {
+	return func(l *warmup.Limiter, p warmup.Policy) { l.Registered(at, "desk-1", incarnation, remaining, p) }
+}
+
+func unreached(l *warmup.Limiter, p warmup.Policy) { l.Unreached(start, "desk-1", p) }
+
+// reached is an answer at one second after start of an attempt that began at a time.
+func reached(began time.Duration) change {
+	return func(l *warmup.Limiter, _ warmup.Policy) { l.Reached(start+time.Second, "desk-1", began) }
+}
+
+func withdrawn(l *warmup.Limiter, _ warmup.Policy) { l.Withdraw("desk-1") }
+
 // Guards against permits in the first second after a keeper has learnt that a target is cold,
 // when requests that were sent without one still count.
 func TestKeeperGrantsNothingAtFirst(t *testing.T) {
 	tests := []struct {
-		name  string
-		learn func(l *warmup.Limiter)
+		name string
+		// coldUntil is the end of an earlier time in which the target was cold.
+		coldUntil time.Duration
+		learn     change
 	}{
-		{
-			name:  "by a request for a permit",
-			learn: func(*warmup.Limiter) {},
-		},
-		{
-			name:  "by the registration",
-			learn: func(l *warmup.Limiter) { l.Registered(start, "desk-1", 2, 10*time.Second, policy) },
-		},
-		{
-			name:  "by a failure to reach it",
-			learn: func(l *warmup.Limiter) { l.Unreached(start, "desk-1", policy) },
-		},
-		{
-			name: "by a failure to reach it, after it was cold earlier",
-			learn: func(l *warmup.Limiter) {
-				for now := time.Second; now < start; now += tick {
-					l.Take(now, "desk-1", policy)
-				}
-				l.Unreached(start, "desk-1", policy)
-			},
-		},
-		{
-			name: "by a request, after it was cold earlier",
-			learn: func(l *warmup.Limiter) {
-				for now := time.Second; now < start-61*time.Second; now += tick {
-					l.Take(now, "desk-1", policy)
-				}
-			},
-		},
+		{name: "by a request for a permit"},
+		{name: "by the registration", learn: registered(start, 2, 10*time.Second)},
+		{name: "by a failure to reach it", learn: unreached},
+		{name: "by a failure to reach it, after it was cold earlier", coldUntil: start, learn: unreached},
+		{name: "by a request, after it was cold earlier", coldUntil: start - 61*time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			l := warmup.NewLimiter()
-			tt.learn(l)
-			now := start
-			for !l.Take(now, "desk-1", policy).Granted {
-				now += tick
+			takeAll(l, time.Second, tt.coldUntil)
+			if tt.learn != nil {
+				tt.learn(l, policy)
 			}
-			is.True(now >= start+time.Second)
-			is.True(now < start+3*time.Second)
+			is.Equal(takeAll(l, start, start+time.Second), 0)
+			is.True(takeAll(l, start+time.Second, start+3*time.Second) > 0)
 		})
 	}
 }
 
 // Guards against a target that is taken for warm too early, or for cold for ever.
 func TestColdTarget(t *testing.T) {
+	again := reached(start + 500*time.Millisecond)
 	tests := []struct {
-		name   string
-		policy warmup.Policy
-		change func(l *warmup.Limiter)
+		name      string
+		unlimited bool
+		changes   []change
 		// after is the time after start at which the target is looked at.
 		after time.Duration
 		cold  bool
 	}{
+		{name: "unknown"},
+		{name: "just registered", changes: []change{registered(start, 1, 4*time.Second)}, after: 3 * time.Second, cold: true},
+		{name: "registered earlier", changes: []change{registered(start, 1, 4*time.Second)}, after: 4 * time.Second},
+		{name: "no limit", unlimited: true, changes: []change{registered(start, 1, 4*time.Second), unreached}},
+		{name: "not reached for long", changes: []change{unreached}, after: time.Hour, cold: true},
+		{name: "reached again lately", changes: []change{unreached, again}, after: 10 * time.Second, cold: true},
+		{name: "reached again earlier", changes: []change{unreached, again}, after: 11 * time.Second},
+		{name: "not reached because of the links", changes: []change{unreached, withdrawn}},
 		{
-			name:   "unknown",
-			policy: policy,
-			change: func(*warmup.Limiter) {},
-		},
-		{
-			name:   "just registered",
-			policy: policy,
-			change: func(l *warmup.Limiter) { l.Registered(start, "desk-1", 1, 4*time.Second, policy) },
-			after:  3 * time.Second,
-			cold:   true,
-		},
-		{
-			name:   "registered earlier",
-			policy: policy,
-			change: func(l *warmup.Limiter) { l.Registered(start, "desk-1", 1, 4*time.Second, policy) },
-			after:  4 * time.Second,
+			name:    "answer of an attempt that began before",
+			changes: []change{unreached, reached(start - time.Second)},
+			after:   time.Minute,
+			cold:    true,
 		},
 		{
-			name: "no limit",
-			change: func(l *warmup.Limiter) {
-				l.Registered(start, "desk-1", 1, 4*time.Second, warmup.Policy{})
-				l.Unreached(start, "desk-1", warmup.Policy{})
-			},
+			name:    "renewed registration of the run that isn't reached",
+			changes: []change{registered(0, 1, 0), unreached, registered(start+time.Second, 1, 0)},
+			after:   2 * time.Second,
+			cold:    true,
 		},
 		{
-			name:   "not reached for long",
-			policy: policy,
-			change: func(l *warmup.Limiter) { l.Unreached(start, "desk-1", policy) },
-			after:  time.Hour,
-			cold:   true,
-		},
-		{
-			name:   "reached again lately",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Unreached(start, "desk-1", policy)
-				l.Reached(start+time.Second, "desk-1", start+500*time.Millisecond)
-			},
-			after: 10 * time.Second,
-			cold:  true,
-		},
-		{
-			name:   "reached again earlier",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Unreached(start, "desk-1", policy)
-				l.Reached(start+time.Second, "desk-1", start+500*time.Millisecond)
-			},
-			after: 11 * time.Second,
-		},
-		{
-			name:   "not reached because of the links",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Unreached(start, "desk-1", policy)
-				l.Withdraw("desk-1")
-			},
-		},
-		{
-			name:   "answer of an attempt that began before",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Unreached(start, "desk-1", policy)
-				l.Reached(start+time.Second, "desk-1", start-time.Second)
-			},
-			after: time.Minute,
-			cold:  true,
-		},
-		{
-			name:   "renewed registration of the run that isn't reached",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Registered(0, "desk-1", 1, 0, policy)
-				l.Unreached(start, "desk-1", policy)
-				l.Registered(start+time.Second, "desk-1", 1, 0, policy)
-			},
-			after: 2 * time.Second,
-			cold:  true,
-		},
-		{
-			name:   "registration of another run that is warm",
-			policy: policy,
-			change: func(l *warmup.Limiter) {
-				l.Registered(0, "desk-1", 1, 0, policy)
-				l.Unreached(start, "desk-1", policy)
-				l.Registered(start+time.Second, "desk-1", 2, 0, policy)
-			},
-			after: 2 * time.Second,
+			name:    "registration of another run that is warm",
+			changes: []change{registered(0, 1, 0), unreached, registered(start+time.Second, 2, 0)},
+			after:   2 * time.Second,
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			l := warmup.NewLimiter()
-			tt.change(l)
-			is.Equal(l.Cold(start+tt.after, "desk-1", tt.policy), tt.cold)
+			l, p := warmup.NewLimiter(), policy
+			if tt.unlimited {
+				p = warmup.Policy{}
+			}
+			for _, apply := range tt.changes {
+				apply(l, p)
+			}
+			is.New(t).Equal(l.Cold(start+tt.after, "desk-1", p), tt.cold)
 		})
 	}
 }
