evacuation: condense the tests

From 108 to 64 lines, with the changes of a case as a list of shared constructors. No case is removed.

--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -13,81 +13,37 @@
 // zone that stays evacuated after that.
 func TestEvacuationLastsUntilItIsEnded(t *testing.T) {
 	const now = time.Hour
+	type change func(z *evacuation.Zones)
+	begin := func(at time.Duration, zone string) change {
+		return func(z *evacuation.Zones) { z.Begin(at, zone) }
+	}
+	end := func(at time.Duration, setBack bool) change {
+		return func(z *evacuation.Zones) { z.End(at, "mill", setBack) }
+	}
+	begun, lost := begin(now, "mill"), end(now, true)
 	tests := []struct {
-		name   string
-		change func(z *evacuation.Zones)
+		name    string
+		changes []change
 		// at is when the zone is looked at.
 		at        time.Duration
 		evacuated bool
 	}{
-		{
-			name:   "not requested",
-			change: func(*evacuation.Zones) {},
-			at:     now,
-		},
-		{
-			name:      "requested long ago",
-			change:    func(z *evacuation.Zones) { z.Begin(now, "mill") },
-			at:        now + 100*time.Hour,
-			evacuated: true,
-		},
-		{
-			name: "removed",
-			change: func(z *evacuation.Zones) {
-				z.Begin(now, "mill")
-				z.End(now, "mill", false)
-			},
-			at: now,
-		},
-		{
-			name: "lost by the store lately",
-			change: func(z *evacuation.Zones) {
-				z.Begin(now, "mill")
-				z.End(now, "mill", true)
-			},
-			at:        now + 59*time.Second,
-			evacuated: true,
-		},
-		{
-			name: "lost by the store twice",
-			change: func(z *evacuation.Zones) {
-				z.Begin(now, "mill")
-				z.End(now, "mill", true)
-				z.End(now+30*time.Second, "mill", true)
-			},
-			at: now + 60*time.Second,
-		},
-		{
-			name: "lost and written again",
-			change: func(z *evacuation.Zones) {
-				z.Begin(now, "mill")
-				z.End(now, "mill", true)
-				z.Begin(now+time.Second, "mill")
-			},
-			at:        now + time.Hour,
-			evacuated: true,
-		},
-		{
-			name: "lost and removed",
-			change: func(z *evacuation.Zones) {
-				z.Begin(now, "mill")
-				z.End(now, "mill", true)
-				z.End(now+time.Second, "mill", false)
-			},
-			at: now + time.Second,
-		},
-		{
-			name:   "another zone",
-			change: func(z *evacuation.Zones) { z.Begin(now, "office") },
-			at:     now,
-		},
+		{name: "not requested", at: now},
+		{name: "requested long ago", changes: []change{begun}, at: now + 100*time.Hour, evacuated: true},
+		{name: "removed", changes: []change{begun, end(now, false)}, at: now},
+		{name: "lost by the store lately", changes: []change{begun, lost}, at: now + 59*time.Second, evacuated: true},
+		{name: "lost by the store twice", changes: []change{begun, lost, end(now+30*time.Second, true)}, at: now + 60*time.Second},
+		{name: "lost and written again", changes: []change{begun, lost, begin(now+time.Second, "mill")}, at: now + time.Hour, evacuated: true},
+		{name: "lost and removed", changes: []change{begun, lost, end(now+time.Second, false)}, at: now + time.Second},
+		{name: "another zone", changes: []change{begin(now, "office")}, at: now},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
 			z := evacuation.New()
-			tt.change(z)
-			is.Equal(z.Evacuated(tt.at, "mill"), tt.evacuated)
+			for _, apply := range tt.changes {
+				apply(z)
+			}
+			is.New(t).Equal(z.Evacuated(tt.at, "mill"), tt.evacuated)
 		})
 	}
 }
