outlier: condense the tests of grants and evacuated zones

The test of a report made before a release becomes a case of TestCountsOfGrantsEnd; cases name their fields. No case is removed.

--- a/pkg/outlier/grant_test.go
+++ b/pkg/outlier/grant_test.go
@@ -23,10 +23,7 @@
 	is := is.New(t)
 	table := newTable(12) // four targets of the own zone, with six slots each
 	for _, name := range []string{"desk-00", "desk-03"} {
-		table.ReceiveLoad(now, "10.1.0.2:7000", outlier.Load{
-			Target:  name,
-			Running: 2,
-		}, time.Minute)
+		table.ReceiveLoad(now, "10.1.0.2:7000", outlier.Load{Target: name, Running: 2}, time.Minute)
 	}
 	for n := range 20 {
 		to := []outlier.Grantee{peer, {}}[n%2]
@@ -39,11 +36,7 @@
 	}
 	_, ok := table.Grant(now, peer, outlier.Request{})
 	is.True(!ok)
-	is.Equal(table.Room(now), outlier.Room{
-		Targets: 4,
-		Slots:   24,
-		InUse:   24,
-	})
+	is.Equal(table.Room(now), outlier.Room{Targets: 4, Slots: 24, InUse: 24})
 	table.Ungrant(now, peer, "desk-03")
 	granted, ok := table.Grant(now, peer, outlier.Request{})
 	is.True(ok)
@@ -53,33 +46,33 @@
 // Guards against slots that stay in use after a release or a report was lost, and against reports
 // that were made before a grant or a release and undo it.
 func TestCountsOfGrantsEnd(t *testing.T) {
-	report := func(running int) func(*outlier.Table, time.Duration, string) {
-		return func(table *outlier.Table, at time.Duration, name string) {
-			table.ReceiveLoad(at, peer.Instance, outlier.Load{
-				Target:  name,
-				Running: running,
-			}, time.Second)
+	const ms = time.Millisecond
+	type event func(*outlier.Table, string)
+	release := func(at time.Duration) event {
+		return func(table *outlier.Table, name string) { table.Ungrant(now+at, peer, name) }
+	}
+	report := func(at time.Duration, running int) event {
+		return func(table *outlier.Table, name string) {
+			table.ReceiveLoad(now+at, peer.Instance, outlier.Load{Target: name, Running: running}, time.Second)
 		}
 	}
-	release := func(table *outlier.Table, at time.Duration, name string) { table.Ungrant(at, peer, name) }
-	nothing := func(*outlier.Table, time.Duration, string) {}
 	tests := []struct {
-		name  string
-		to    outlier.Grantee
-		at    time.Duration
-		event func(*outlier.Table, time.Duration, string)
+		name   string
+		to     outlier.Grantee
+		events []event
 		// after is the time of the look, and inUse what is to be counted.
 		after time.Duration
 		inUse int
 	}{
-		{"a grant counts at once", peer, 0, nothing, 0, 1},
-		{"a release ends it", peer, 40 * time.Millisecond, release, 40 * time.Millisecond, 0},
-		{"a report of something else doesn't count before it can know", peer, 50 * time.Millisecond, report(0), 60 * time.Millisecond, 1},
-		{"a later report replaces it", peer, 150 * time.Millisecond, report(0), 150 * time.Millisecond, 0},
-		{"a report keeps it", peer, 900 * time.Millisecond, report(1), 1800 * time.Millisecond, 1},
-		{"without reports it ends with its term", peer, 0, nothing, time.Second, 0},
-		{"one of another zone lasts as long as its request", remote, 0, nothing, 2999 * time.Millisecond, 1},
-		{"and no longer", remote, 0, nothing, 3 * time.Second, 0},
+		{name: "a grant counts at once", to: peer, inUse: 1},
+		{name: "a release ends it", to: peer, events: []event{release(40 * ms)}, after: 40 * ms},
+		{name: "a report of something else doesn't count before it can know", to: peer, events: []event{report(50*ms, 0)}, after: 60 * ms, inUse: 1},
+		{name: "a later report replaces it", to: peer, events: []event{report(150*ms, 0)}, after: 150 * ms},
+		{name: "a report keeps it", to: peer, events: []event{report(900*ms, 1)}, after: 1800 * ms, inUse: 1},
+		{name: "a report before a release doesn't undo that", to: peer, events: []event{release(500 * ms), report(510*ms, 1)}, after: 520 * ms},
+		{name: "without reports it ends with its term", to: peer, after: time.Second},
+		{name: "one of another zone lasts as long as its request", to: remote, after: 2999 * ms, inUse: 1},
+		{name: "and no longer", to: remote, after: 3 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -87,27 +80,14 @@
 			table := newTable(1)
 			granted, ok := table.Grant(now, tt.to, outlier.Request{})
 			is.True(ok)
-			tt.event(table, now+tt.at, granted.Name)
+			for _, apply := range tt.events {
+				apply(table, granted.Name)
+			}
 			is.Equal(table.InUse(now+tt.after, granted.Name), tt.inUse)
 		})
 	}
 }
 
-// Guards against a slot that counts as in use until the next report because one that was made
-// before the release comes after it.
-func TestReportBeforeAReleaseDoesNotUndoIt(t *testing.T) {
-	is := is.New(t)
-	table := newTable(1)
-	granted, _ := table.Grant(now, peer, outlier.Request{})
-	table.Ungrant(now+time.Second/2, peer, granted.Name)
-	late := outlier.Load{
-		Target:  granted.Name,
-		Running: 1,
-	}
-	table.ReceiveLoad(now+time.Second/2+10*time.Millisecond, peer.Instance, late, time.Second)
-	is.Equal(table.InUse(now+time.Second/2+20*time.Millisecond, granted.Name), 0)
-}
-
 // Guards against grants of targets that the asking instance or the allocator doesn't use, and
 // against attempts beside others at busy targets.
 func TestGrantsPassOverTargets(t *testing.T) {
@@ -117,16 +97,20 @@
 		request outlier.Request
 		want    string
 	}{
-		{"tried", nil, outlier.Request{Avoid: []string{"desk-00"}}, "desk-03"},
-		{"tried, and there is no other", nil, outlier.Request{Avoid: []string{"desk-00", "desk-03"}}, "any"},
-		{"unfit for the instance", nil, outlier.Request{Unfit: []string{"desk-00"}}, "desk-03"},
-		{"held", func(t *outlier.Table) { t.HoldFor(now+time.Second, "desk-00") }, outlier.Request{}, "desk-03"},
-		{"ejected", func(t *outlier.Table) { t.Observe(now, "desk-00", target.Crashed) }, outlier.Request{}, "desk-03"},
-		{"too busy for an attempt beside another", func(t *outlier.Table) {
-			for _, name := range []string{"desk-00", "desk-03"} {
-				t.ReceiveLoad(now, peer.Instance, outlier.Load{Target: name, Running: 3}, time.Second)
-			}
-		}, outlier.Request{Spare: true}, ""},
+		{name: "tried", request: outlier.Request{Avoid: []string{"desk-00"}}, want: "desk-03"},
+		{name: "tried, and there is no other", request: outlier.Request{Avoid: []string{"desk-00", "desk-03"}}, want: "any"},
+		{name: "unfit for the instance", request: outlier.Request{Unfit: []string{"desk-00"}}, want: "desk-03"},
+		{name: "held", prepare: func(t *outlier.Table) { t.HoldFor(now+time.Second, "desk-00") }, want: "desk-03"},
+		{name: "ejected", prepare: func(t *outlier.Table) { t.Observe(now, "desk-00", target.Crashed) }, want: "desk-03"},
+		{
+			name: "too busy for an attempt beside another",
+			prepare: func(t *outlier.Table) {
+				for _, name := range []string{"desk-00", "desk-03"} {
+					t.ReceiveLoad(now, peer.Instance, outlier.Load{Target: name, Running: 3}, time.Second)
+				}
+			},
+			request: outlier.Request{Spare: true},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -170,10 +154,7 @@
 	table := newTable(3 * targets)
 	for i := range targets {
 		for p := range 3 {
-			table.ReceiveLoad(now, fmt.Sprint("peer-", p), outlier.Load{
-				Target:  fmt.Sprintf("desk-%02d", 3*i),
-				Running: 1,
-			}, time.Hour)
+			table.ReceiveLoad(now, fmt.Sprint("peer-", p), outlier.Load{Target: fmt.Sprintf("desk-%02d", 3*i), Running: 1}, time.Hour)
 		}
 	}
 	for b.Loop() {
--- a/pkg/outlier/table_test.go
+++ b/pkg/outlier/table_test.go
@@ -719,54 +719,29 @@
 // Guards against requests to targets in an evacuated zone, by whatever way a target is chosen.
 func TestEvacuatedTargetsAreNeverChosen(t *testing.T) {
 	const now = time.Minute
-	everyOther := func(zone string) bool { return zone != "a" }
 	tests := []struct {
-		name    string
-		request outlier.Request
-		observe func(*outlier.Table)
+		name     string
+		request  outlier.Request
+		outcomes map[string]target.Outcome
 	}{
+		{name: "first attempt"},
+		{name: "preferred targets", request: outlier.Request{Prefer: []string{"desk-01", "desk-02"}}},
+		{name: "retry after all others were tried", request: outlier.Request{Avoid: []string{"desk-00", "desk-03"}}},
 		{
-			name:    "first attempt",
-			observe: func(*outlier.Table) {},
-		},
-		{
-			name: "preferred targets",
-			request: outlier.Request{
-				Prefer: []string{"desk-01", "desk-02"},
-			},
-			observe: func(*outlier.Table) {},
-		},
-		{
-			name: "retry after all others were tried",
-			request: outlier.Request{
-				Avoid: []string{"desk-00", "desk-03"},
-			},
-			observe: func(*outlier.Table) {},
-		},
-		{
-			name: "all others were ejected",
-			request: outlier.Request{
-				Repeatable: true,
-			},
-			observe: func(t *outlier.Table) {
-				t.ReceiveOutcome(now, "desk-00", target.Crashed)
-				t.ReceiveOutcome(now, "desk-03", target.Crashed)
-			},
-		},
-		{
-			name: "probation",
-			request: outlier.Request{
-				Repeatable: true,
-			},
-			observe: func(t *outlier.Table) { t.ReceiveOutcome(now, "desk-01", target.Disconnected) },
+			name:     "all others were ejected",
+			request:  outlier.Request{Repeatable: true},
+			outcomes: map[string]target.Outcome{"desk-00": target.Crashed, "desk-03": target.Crashed},
 		},
+		{name: "probation", request: outlier.Request{Repeatable: true}, outcomes: map[string]target.Outcome{"desk-01": target.Disconnected}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			table := newTable(6)
-			table.SetEvacuated(everyOther)
-			tt.observe(table)
+			table.SetEvacuated(func(zone string) bool { return zone != "a" })
+			for name, outcome := range tt.outcomes {
+				table.ReceiveOutcome(now, name, outcome)
+			}
 			for range 100 {
 				got, ok := table.Choose(now, tt.request)
 				is.True(ok)
