admission: condense the tests and drop an unused option

WithReturns is used by nothing, tests included, and isn't in the specification. WithMaxLength is also used by tests only, but stays: two of them need a short queue.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -57,7 +57,6 @@
 
 type options struct {
 	maxLength int
-	returns   *Returns
 }
 
 // defaultMaxLength bounds memory only: the time left of callers bounds the queue long
@@ -70,10 +69,3 @@
 		o.maxLength = max(n, 1)
 	}
 }
-
-// WithReturns sets the schedule for Refused.RetryAfter. By default each queue has its own.
-func WithReturns(r *Returns) Option {
-	return func(o *options) {
-		o.returns = r
-	}
-}
--- a/pkg/admission/bench_test.go
+++ b/pkg/admission/bench_test.go
@@ -13,10 +13,7 @@
 
 // filled returns a queue with entries of four ranks that are refilled by benchmarks.
 func filled(organisations int) (*admission.Queue[int], func(now time.Duration, n int) admission.Entry[int], admission.Capacity) {
-	capacity := admission.Capacity{
-		Slots:       1000,
-		ServiceTime: 100 * time.Millisecond,
-	}
+	capacity := admission.Capacity{Slots: 1000, ServiceTime: 100 * time.Millisecond}
 	q := admission.New[int]()
 	entry := func(now time.Duration, n int) admission.Entry[int] {
 		return admission.Entry[int]{
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -38,6 +38,7 @@
 // Queue holds waiting requests. It is not safe for concurrent use. Make it with New.
 type Queue[T any] struct {
 	options options
+	returns *Returns
 	items   map[uint64]*item[T]
 	// ranks holds the ranks in order, the most urgent first.
 	ranks []*rank[T]
@@ -81,11 +82,9 @@
 	for _, option := range opts {
 		option(&o)
 	}
-	if o.returns == nil {
-		o.returns = NewReturns()
-	}
 	return &Queue[T]{
 		options: o,
+		returns: NewReturns(),
 		items:   map[uint64]*item[T]{},
 	}
 }
@@ -155,7 +154,7 @@
 	r := q.rank(e.Rank)
 	o := q.outlook(now, r, q.slotRate(now, c))
 	before, _ := r.before(e.Organisation, e.Deadline)
-	return q.options.returns.Schedule(now, e.Rank, e.Deadline-now, o.urgent+before, o.rate)
+	return q.returns.Schedule(now, e.Rank, e.Deadline-now, o.urgent+before, o.rate)
 }
 
 // bound returns how many entries may wait: what the service can serve within the longest
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -11,77 +11,58 @@
 	"dandelionmux/pkg/admission"
 )
 
-const start = time.Minute
+const (
+	start = time.Minute
+	ms    = time.Millisecond
+)
+
+// offer queues an entry and reports whether it waits.
+func offer(q *admission.Queue[string], id, rank int, organisation string, c admission.Capacity, left time.Duration) bool {
+	q.Arrived(start, rank)
+	v := q.Offer(start, admission.Entry[string]{ID: uint64(id), Rank: rank, Organisation: organisation, Deadline: start + left}, c)
+	_, waits := v.(admission.Waits)
+	return waits
+}
+
+// newQueue returns a queue with n waiting entries of rank 0 of an organisation, with IDs from 1.
+func newQueue(t *testing.T, n int, c admission.Capacity, left time.Duration) *admission.Queue[string] {
+	q := admission.New[string]()
+	for i := range n {
+		is.New(t).True(offer(q, i+1, 0, "a", c, left))
+	}
+	return q
+}
 
 // Guards against an order by arrival: the urgent rank, the organisation that has waited for
 // its turn, and the caller with less time left go first.
 func TestOrder(t *testing.T) {
 	is := is.New(t)
 	q := admission.New[string]()
-	c := admission.Capacity{
-		Slots:       10,
-		ServiceTime: 100 * time.Millisecond,
-	}
-	for i, e := range []struct {
-		rank         int
-		organisation string
-		left         time.Duration
-		name         string
-	}{
-		{1, "a", 5 * time.Second, "rank 1"},
-		{0, "a", 5 * time.Second, "a long"},
-		{0, "a", 4 * time.Second, "a"},
-		{0, "a", 3 * time.Second, "a short"},
-		{0, "b", 5 * time.Second, "b"},
-	} {
-		q.Arrived(start, e.rank)
-		v := q.Offer(start, admission.Entry[string]{
-			ID:           uint64(i + 1),
-			Rank:         e.rank,
-			Organisation: e.organisation,
-			Deadline:     start + e.left,
-			Value:        e.name,
-		}, c)
-		_, waits := v.(admission.Waits)
-		is.True(waits)
-	}
+	c := slots(10, 100*ms)
+	is.True(offer(q, 1, 1, "a", c, 5*time.Second))
+	is.True(offer(q, 2, 0, "a", c, 5*time.Second))
+	is.True(offer(q, 3, 0, "a", c, 4*time.Second))
+	is.True(offer(q, 4, 0, "a", c, 3*time.Second))
+	is.True(offer(q, 5, 0, "b", c, 5*time.Second))
 	is.Equal(q.Waiting(), map[int]int{0: 4, 1: 1})
 	first, ok := q.Next(start)
 	is.True(ok)
 	q.PutBack(start, first)
 	is.Equal(q.Len(), 5)
-	var names []string
+	var order []uint64
 	for q.Len() > 0 {
 		e, ok := q.Next(start)
 		is.True(ok)
-		names = append(names, e.Value)
+		order = append(order, e.ID)
 	}
-	is.Equal(names, []string{"a short", "b", "a", "a long", "rank 1"})
+	is.Equal(order, []uint64{4, 5, 3, 2, 1})
 	_, ok = q.Next(start)
 	is.True(!ok)
 }
 
-// offer queues an entry of 5 s left and reports whether it waits.
-func offer(q *admission.Queue[string], id uint64, rank int, organisation string, c admission.Capacity) bool {
-	return offerWithLeft(q, id, rank, organisation, c, 5*time.Second)
-}
-
-func offerWithLeft(q *admission.Queue[string], id uint64, rank int, organisation string, c admission.Capacity, left time.Duration) bool {
-	q.Arrived(start, rank)
-	v := q.Offer(start, admission.Entry[string]{
-		ID:           id,
-		Rank:         rank,
-		Organisation: organisation,
-		Deadline:     start + left,
-	}, c)
-	_, waits := v.(admission.Waits)
-	return waits
-}
-
 // Guards against a refusal that comes only after a wait: what can't be served in its time
 // must be known to be so when it arrives.
 func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
-	is := is.New(t)
 	tests := []struct {
 		name     string
 		capacity admission.Capacity
@@ -89,44 +70,16 @@
 		left     time.Duration
 		refused  string
 	}{
-		{
-			name:     "served in time",
-			capacity: slots(2, 100*time.Millisecond),
-			waiting:  20,
-			left:     2 * time.Second,
-		},
-		{
-			name:     "too much waits before it",
-			capacity: slots(2, 100*time.Millisecond),
-			waiting:  40,
-			left:     2 * time.Second,
-			refused:  admission.ReasonLate,
-		},
-		{
-			name:     "less time than the service takes",
-			capacity: slots(2, 100*time.Millisecond),
-			left:     90 * time.Millisecond,
-			refused:  admission.ReasonLate,
-		},
-		{
-			name:    "no slots",
-			left:    2 * time.Second,
-			refused: admission.ReasonNoCapacity,
-		},
+		{name: "served in time", capacity: slots(2, 100*ms), waiting: 20, left: 2 * time.Second},
+		{name: "too much waits before it", capacity: slots(2, 100*ms), waiting: 40, left: 2 * time.Second, refused: admission.ReasonLate},
+		{name: "less time than the service takes", capacity: slots(2, 100*ms), left: 90 * ms, refused: admission.ReasonLate},
+		{name: "no slots", left: 2 * time.Second, refused: admission.ReasonNoCapacity},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			q := admission.New[string]()
-			for n := range tt.waiting {
-				is.True(offerWithLeft(q, uint64(n+1), 0, "a", slots(4, 100*time.Millisecond), 1900*time.Millisecond))
-			}
-			v := q.Offer(start, admission.Entry[string]{
-				ID:           1000,
-				Rank:         0,
-				Organisation: "a",
-				Deadline:     start + tt.left,
-			}, tt.capacity)
+			q := newQueue(t, tt.waiting, slots(4, 100*ms), 1900*ms)
+			v := q.Offer(start, admission.Entry[string]{ID: 1000, Rank: 0, Organisation: "a", Deadline: start + tt.left}, tt.capacity)
 			if tt.refused == "" {
 				_, waits := v.(admission.Waits)
 				is.True(waits)
@@ -139,15 +92,17 @@
 			is.Equal(q.Len(), tt.waiting)
 		})
 	}
-	// The first request of an organisation doesn't wait for all those of another.
+}
+
+// Guards against a first request of an organisation that waits for all those of another.
+func TestFirstOfAnOrganisationDoesNotWaitForAnother(t *testing.T) {
+	is := is.New(t)
+	c := slots(2, 100*ms)
 	q := admission.New[string]()
 	for n := range 80 {
-		is.True(offer(q, uint64(n+1), 0, "hot", slots(2, 100*time.Millisecond)) == (n < 78))
+		is.True(offer(q, n+1, 0, "hot", c, 5*time.Second) == (n < 78))
 	}
-	is.True(q.Expect(start, admission.Entry[string]{
-		Organisation: "other",
-		Deadline:     start + 5*time.Second,
-	}, slots(2, 100*time.Millisecond)) < 200*time.Millisecond)
+	is.True(q.Expect(start, admission.Entry[string]{Organisation: "other", Deadline: start + 5*time.Second}, c) < 200*ms)
 }
 
 // Guards against an urgent rank that is served last because many others were seen before it.
@@ -157,8 +112,8 @@
 	for n := range 32 {
 		q.Arrived(start, n+1)
 	}
-	is.True(offer(q, 1, 5, "a", slots(1, 100*time.Millisecond)))
-	is.True(offer(q, 2, 0, "a", slots(1, 100*time.Millisecond)))
+	is.True(offer(q, 1, 5, "a", slots(1, 100*ms), 5*time.Second))
+	is.True(offer(q, 2, 0, "a", slots(1, 100*ms), 5*time.Second))
 	first, _ := q.Next(start)
 	is.Equal(first.Rank, 0)
 }
@@ -168,19 +123,19 @@
 func TestExpireWhenCapacityFalls(t *testing.T) {
 	is := is.New(t)
 	q := admission.New[string]()
-	full := slots(40, 200*time.Millisecond)
+	full := slots(40, 200*ms)
 	for n := range 600 {
-		is.True(offer(q, uint64(n+1), 1-n/300, []string{"a", "b", "c"}[n%3], full))
+		is.True(offer(q, n+1, 1-n/300, []string{"a", "b", "c"}[n%3], full, 5*time.Second))
 	}
 	is.Equal(len(q.Expire(start, full)), 0)
-	expired := q.Expire(start+10*time.Millisecond, slots(4, 200*time.Millisecond))
+	expired := q.Expire(start+10*ms, slots(4, 200*ms))
 	t.Logf("%d expired, %v wait", len(expired), q.Waiting())
 	// 20 a second can be served for 4.8 s.
 	is.True(q.Len() >= 90 && q.Len() <= 100)
 	is.Equal(len(expired)+q.Len(), 600)
 	is.True(q.Waiting()[1] >= 10) // the minimum share
-	is.True(q.RetryAfter(start+10*time.Millisecond, expired[0], full) <= 5*time.Second/3)
-	is.Equal(len(q.Expire(start+20*time.Millisecond, slots(4, 200*time.Millisecond))), 0)
+	is.True(q.RetryAfter(start+10*ms, expired[0], full) <= 5*time.Second/3)
+	is.Equal(len(q.Expire(start+20*ms, slots(4, 200*ms))), 0)
 }
 
 // Guards against a rate of grants that is ignored for as long as requests wait, because the
@@ -188,16 +143,13 @@
 // instead of the nominal 200.
 func TestGrantsCountAfterPausesAndPutBacks(t *testing.T) {
 	is := is.New(t)
-	c := slots(40, 200*time.Millisecond)
-	q := admission.New[string]()
-	for n := range 30 {
-		is.True(offerWithLeft(q, uint64(n+1), 0, "a", c, time.Minute))
-	}
+	c := slots(40, 200*ms)
+	q := newQueue(t, 30, c, time.Minute)
 	now := start
 	for _, pause := range []time.Duration{0, 3 * time.Second} {
 		now += pause
 		for range 5 {
-			now += 500 * time.Millisecond
+			now += 500 * ms
 			_, ok := q.Next(now)
 			is.True(ok)
 			is.Equal(len(q.Expire(now, c)), 0)
@@ -210,10 +162,7 @@
 				q.PutBack(now, e)
 			}
 		}
-		expected := q.Expect(now, admission.Entry[string]{
-			Organisation: "a",
-			Deadline:     now + time.Minute,
-		}, c)
+		expected := q.Expect(now, admission.Entry[string]{Organisation: "a", Deadline: now + time.Minute}, c)
 		is.True(expected > 4*time.Second)
 	}
 }
@@ -222,10 +171,7 @@
 // wait: slots then become free 40 at once each 3 s, longer than grants were counted over before.
 func TestGrantsAreCountedForLongEnough(t *testing.T) {
 	is := is.New(t)
-	q := admission.New[string]()
-	for n := range 300 {
-		is.True(offerWithLeft(q, uint64(n+1), 0, "a", slots(40, 200*time.Millisecond), time.Minute))
-	}
+	q := newQueue(t, 300, slots(40, 200*ms), time.Minute)
 	now := start
 	serve := func(grants, steps int, c admission.Capacity) {
 		for range grants {
@@ -233,12 +179,12 @@
 			is.True(ok)
 		}
 		for range steps {
-			now += 100 * time.Millisecond
+			now += 100 * ms
 			is.Equal(len(q.Expire(now, c)), 0)
 		}
 	}
 	for range 70 {
-		serve(1, 1, slots(40, 200*time.Millisecond))
+		serve(1, 1, slots(40, 200*ms))
 	}
 	for range 4 {
 		serve(40, 30, slots(40, 3*time.Second))
@@ -249,16 +195,15 @@
 // target that has become slow.
 func TestNextPassesOverLapsedEntries(t *testing.T) {
 	is := is.New(t)
-	c := slots(2, 100*time.Millisecond)
-	q := admission.New[string]()
-	is.True(offer(q, 1, 0, "a", c))
-	_, ok := q.Next(start + 4950*time.Millisecond)
+	c := slots(2, 100*ms)
+	q := newQueue(t, 1, c, 5*time.Second)
+	_, ok := q.Next(start + 4950*ms)
 	is.True(!ok)
 	is.Equal(q.Len(), 0)
-	expired := q.Expire(start+4950*time.Millisecond, c)
+	expired := q.Expire(start+4950*ms, c)
 	is.Equal(len(expired), 1)
 	is.Equal(expired[0].ID, uint64(1))
-	is.True(offer(q, 2, 0, "a", c))
+	is.True(offer(q, 2, 0, "a", c, 5*time.Second))
 	for _, e := range q.Expire(start, slots(2, 6*time.Second)) {
 		is.Equal(e.ID, uint64(2))
 	}
@@ -270,21 +215,21 @@
 // any while another has many, or those that are due before others of their organisation.
 func TestFullQueue(t *testing.T) {
 	is := is.New(t)
-	c := slots(40, 100*time.Millisecond)
+	c := slots(40, 100*ms)
 	q := admission.New[string](admission.WithMaxLength(10))
 	for n := range 10 {
-		is.True(offer(q, uint64(n+1), 1, "hot", c))
+		is.True(offer(q, n+1, 1, "hot", c, 5*time.Second))
 	}
-	is.True(!offer(q, 11, 1, "hot", c))
-	is.True(!offer(q, 12, 2, "other", c))
-	is.True(offer(q, 13, 1, "other", c))
-	is.True(offer(q, 14, 0, "hot", c))
+	is.True(!offer(q, 11, 1, "hot", c, 5*time.Second))
+	is.True(!offer(q, 12, 2, "other", c, 5*time.Second))
+	is.True(offer(q, 13, 1, "other", c, 5*time.Second))
+	is.True(offer(q, 14, 0, "hot", c, 5*time.Second))
 	is.Equal(q.Waiting(), map[int]int{0: 1, 1: 9})
 	displaced := q.Expire(start, c)
 	is.Equal(len(displaced), 2)
 	is.Equal(displaced[0].ID, uint64(10))
 	is.Equal(displaced[1].ID, uint64(9))
-	is.True(offerWithLeft(q, 15, 1, "hot", c, time.Second))
+	is.True(offer(q, 15, 1, "hot", c, time.Second))
 	is.Equal(q.Waiting(), map[int]int{0: 1, 1: 9})
 	is.Equal(q.Expire(start, c)[0].ID, uint64(8))
 }
@@ -292,10 +237,10 @@
 // Guards against a rank that gains by entries that are dequeued and put back.
 func TestPutBackRestoresWhatARankIsOwed(t *testing.T) {
 	is := is.New(t)
-	c := slots(40, 100*time.Millisecond)
+	c := slots(40, 100*ms)
 	q := admission.New[string]()
 	for n := range 100 {
-		is.True(offer(q, uint64(n+1), n%2, "a", c))
+		is.True(offer(q, n+1, n%2, "a", c, 5*time.Second))
 	}
 	first := map[int]int{}
 	for range 40 {
@@ -325,8 +270,8 @@
 		}
 		now, lapsed := start, false
 		for id := range uint64(rapid.IntRange(1, 200).Draw(t, "steps")) {
-			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond
-			c := slots(rapid.IntRange(0, 20).Draw(t, "slots"), 100*time.Millisecond)
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
+			c := slots(rapid.IntRange(0, 20).Draw(t, "slots"), 100*ms)
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1, 2:
 				id := id - min(id, uint64(rapid.IntRange(0, 3).Draw(t, "again")))
@@ -334,7 +279,7 @@
 					ID:           id,
 					Rank:         rapid.IntRange(0, 3).Draw(t, "rank"),
 					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
-					Deadline:     now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "left"))*time.Millisecond,
+					Deadline:     now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "left"))*ms,
 				}
 				if first, ok := inside[id]; ok {
 					e = first
@@ -355,7 +300,7 @@
 					t.Fatalf("entry %d is dequeued too late", e.ID)
 				}
 				for _, other := range inside {
-					if !lapsed && other.Rank == e.Rank && other.Organisation == e.Organisation && other.Deadline < e.Deadline && other.Deadline >= now+100*time.Millisecond {
+					if !lapsed && other.Rank == e.Rank && other.Organisation == e.Organisation && other.Deadline < e.Deadline && other.Deadline >= now+100*ms {
 						t.Fatalf("entry %d is dequeued before %d", e.ID, other.ID)
 					}
 				}
--- a/pkg/admission/returns_test.go
+++ b/pkg/admission/returns_test.go
@@ -9,15 +9,6 @@
 	"dandelionmux/pkg/admission"
 )
 
-// returnsPer counts returns in steps of 200 ms.
-func returnsPer(times []time.Duration) map[int]int {
-	counts := map[int]int{}
-	for _, at := range times {
-		counts[int(at/(200*time.Millisecond))]++
-	}
-	return counts
-}
-
 // Guards against callers that are refused together and come back together, more than are
 // served then.
 func TestReturnsAreSpread(t *testing.T) {
@@ -29,30 +20,15 @@
 		// between is the time between two refusals.
 		between time.Duration
 	}{
-		{
-			name:      "at once, fast service",
-			perSecond: 100,
-			refused:   300,
-			backlog:   20,
-		},
-		{
-			name:      "at once, slow service",
-			perSecond: 2,
-			refused:   10,
-			backlog:   3,
-		},
-		{
-			name:      "slot by slot",
-			perSecond: 18,
-			refused:   60,
-			between:   20 * time.Millisecond,
-		},
+		{name: "at once, fast service", perSecond: 100, refused: 300, backlog: 20},
+		{name: "at once, slow service", perSecond: 2, refused: 10, backlog: 3},
+		{name: "slot by slot", perSecond: 18, refused: 60, between: 20 * ms},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := admission.NewReturns()
-			var times []time.Duration
+			steps := map[int]int{} // returns in steps of 200 ms
 			last := time.Duration(0)
 			for i := range tt.refused {
 				at := time.Duration(i) * tt.between
@@ -60,9 +36,9 @@
 				is.True(back >= last) // later callers get later times
 				is.True(back.Seconds() >= float64(tt.backlog)/tt.perSecond)
 				last = back
-				times = append(times, back)
+				steps[int(back/(200*ms))]++
 			}
-			for step, n := range returnsPer(times) {
+			for step, n := range steps {
 				t.Logf("step %d: %d", step, n)
 				is.True(float64(n) <= 0.2*tt.perSecond+2)
 			}
@@ -76,7 +52,7 @@
 func TestReturnIsWithinAThirdOfTheTimeLeft(t *testing.T) {
 	is := is.New(t)
 	r := admission.NewReturns()
-	for _, left := range []time.Duration{3 * time.Second, 30 * time.Millisecond, 0, -time.Second, 10 * time.Minute} {
+	for _, left := range []time.Duration{3 * time.Second, 30 * ms, 0, -time.Second, 10 * time.Minute} {
 		for _, perSecond := range []float64{0, 0.5, 1000} {
 			for range 100 {
 				after := r.Schedule(start, 0, left, 5, perSecond)
@@ -90,33 +66,29 @@
 // Guards against urgent callers that come back after less urgent ones.
 func TestUrgentCallersReturnFirst(t *testing.T) {
 	is := is.New(t)
-	mean := func(times []time.Duration) time.Duration {
-		sum := time.Duration(0)
-		for _, at := range times {
-			sum += at
-		}
-		return sum / time.Duration(len(times))
-	}
 	r := admission.NewReturns()
-	var urgent, other []time.Duration
+	var urgent, other time.Duration // sums
 	for i := range 100 {
-		now := start + time.Duration(i)*100*time.Millisecond
+		now := start + time.Duration(i)*100*ms
 		// Two urgent and three other callers are refused for every four slots.
-		urgent = append(urgent, r.Schedule(now, 0, 30*time.Second, 0, 40), r.Schedule(now, 0, 30*time.Second, 0, 40))
-		for range 3 {
-			other = append(other, r.Schedule(now, 1, 30*time.Second, 0, 40))
+		for n := range 5 {
+			if n < 2 {
+				urgent += r.Schedule(now, 0, 30*time.Second, 0, 40)
+			} else {
+				other += r.Schedule(now, 1, 30*time.Second, 0, 40)
+			}
 		}
 	}
-	t.Logf("urgent after %v, others after %v", mean(urgent), mean(other))
-	is.True(mean(urgent) < 500*time.Millisecond)
-	is.True(mean(other) > mean(urgent))
+	t.Logf("urgent after %v, others after %v", urgent/200, other/300)
+	is.True(urgent/200 < 500*ms)
+	is.True(other/300 > urgent/200)
 
 	// All of an urgent caller's time is promised to less urgent ones.
 	r = admission.NewReturns()
 	for range 100 {
 		r.Schedule(start, 3, 30*time.Second, 0, 10)
 	}
-	is.True(r.Schedule(start, 0, 3*time.Second, 0, 10) < 200*time.Millisecond)
+	is.True(r.Schedule(start, 0, 3*time.Second, 0, 10) < 200*ms)
 }
 
 // Guards against promises that count after their time.
@@ -128,5 +100,5 @@
 		r.Schedule(start, 0, time.Minute, 0, 10)
 	}
 	is.True(r.Schedule(start, 0, time.Minute, 0, 10) > 9*time.Second)
-	is.True(r.Schedule(start+11*time.Second, 0, time.Minute, 0, 10) <= first+200*time.Millisecond)
+	is.True(r.Schedule(start+11*time.Second, 0, time.Minute, 0, 10) <= first+200*ms)
 }
