--- a/internal/entry/severed_test.go
+++ b/internal/entry/severed_test.go
@@ -11,26 +11,27 @@
 	"dandelionmux/pkg/instance"
 )
 
+// newSeveringProxy returns a proxy to an address that is closed with the test.
+func newSeveringProxy(t *testing.T, to string) *standin.SeveringProxy {
+	proxy, err := standin.NewSeveringProxy(to)
+	is.New(t).NoErr(err)
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
 // Guards against requests that wait for a kept connection to a target that has gone silent: a
 // read gets another attempt once its answer is overdue, on a new connection, and a write is sent
 // on a new connection from the start.
 func TestSilentTargetConnectionDelaysReadsOnly(t *testing.T) {
 	const overdue = 200 * time.Millisecond
 	is := is.New(t)
-	e := newTestEnv(t, 2)
+	e := newOverdueEnv(t, 2, overdue)
 	var proxies []*standin.SeveringProxy
 	for i, s := range e.targets {
-		proxy, err := standin.NewSeveringProxy(s.Address())
-		is.NoErr(err)
-		t.Cleanup(proxy.Close)
-		proxies = append(proxies, proxy)
-		e.document.Services[0].Targets[i].Address = proxy.Address()
+		proxies = append(proxies, newSeveringProxy(t, s.Address()))
+		e.document.Services[0].Targets[i].Address = proxies[i].Address()
 	}
 	e.allowAttempts(2)
-	e.overdue = &overdueSettings{
-		wait:    overdue,
-		granted: true,
-	}
 	waitUntil(t, func() bool {
 		is.Equal(e.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
 		return proxies[0].Accepted() > 0 && proxies[1].Accepted() > 0
@@ -54,18 +55,15 @@
 		method string
 		status int
 	}{
-		{http.MethodGet, http.StatusOK},
-		{http.MethodPost, http.StatusGatewayTimeout},
+		{method: http.MethodGet, status: http.StatusOK},
+		{method: http.MethodPost, status: http.StatusGatewayTimeout},
 	}
 	for _, tt := range tests {
 		t.Run(tt.method, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			e := newRelayEnv(t, 2, 0)
-			e.overdue = &overdueSettings{
-				wait:    attemptOverdue,
-				granted: true,
-			}
+			e.overdue = &overdueSettings{wait: attemptOverdue, granted: true}
 			e.relays.overdue = relayOverdue
 			var proxy *standin.SeveringProxy
 			helper := e.newHelper()
@@ -73,14 +71,11 @@
 				proxy.Sever() // its answer is lost
 				helper(w, r)
 			})
-			proxy, err := standin.NewSeveringProxy(string(e.relays.helpers[0]))
-			is.NoErr(err)
-			t.Cleanup(proxy.Close)
+			proxy = newSeveringProxy(t, string(e.relays.helpers[0]))
 			e.relays.helpers[0] = instance.Address(proxy.Address())
 			e.addHelper(e.newHelper())
 			began := time.Now()
-			got := e.callRelayed(tt.method, "/bookings", "")
-			is.Equal(got.status, tt.status)
+			is.Equal(e.callRelayed(tt.method, "/bookings", "").status, tt.status)
 			is.True(time.Since(began) < timeout+time.Second)
 			is.True(proxy.Accepted() == 1)
 		})
