roster: look in detail only at members that rank higher

The allocator of a service is looked up for each request, and for each other zone several times for a request that waits. In a zone of 90 members CapableKeeper looked up all of them in three maps; it now does so only for a member whose score is the best so far, about five of them.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -148,10 +148,8 @@
 	var best instance.Address
 	var bestScore uint64
 	for _, m := range members {
-		if !isCapable(m.Address) {
-			continue
-		}
-		if score := instance.Score(key, m.Address); best == "" || score > bestScore {
+		// isCapable costs more than the score, and is called for few members this way.
+		if score := instance.Score(key, m.Address); (best == "" || score > bestScore) && isCapable(m.Address) {
 			best, bestScore = m.Address, score
 		}
 	}
