gateway: a withdrawn wait is no use of a slot

A request that withdraws its wait at the moment at which the allocator grants it a slot released that slot as if it had used it. The mean time for which slots are used then got a sample of a millisecond or less, and the expected waits became too short. Such a release now says that the slot was not used.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -383,6 +383,7 @@
 		m: slotRelease{
 			Number:  a.message.Number,
 			Service: a.message.Service,
+			Unused:  true, // the slot may just have been granted
 		},
 	})
 	a.waitsAt = ""
--- /dev/null
+++ b/internal/gateway/review_internal_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionmux/internal/boot"
+	"dandelionmux/pkg/instance"
+	"dandelionmux/pkg/roster"
+	"dandelionmux/pkg/zoneload"
+)
+
+// newAllocatingGateway returns an instance of the zone mill that allocates the service desk, next to
+// the zone quay, whose allocator has reported free slots.
+func newAllocatingGateway() *Gateway {
+	g := newWarmUpGateway(false)
+	g.self = instance.Info{
+		ID: instance.ID{
+			Address: "10.0.1.1:7000",
+		},
+		Zone: "mill",
+	}
+	g.asks = newPendingSlots()
+	g.allocatorWake = make(chan struct{}, 1)
+	g.allocation = allocationBounds{
+		minMembers: 1,
+		maxSlots:   6,
+	}
+	peer := instance.Info{
+		ID: instance.ID{
+			Address: "10.0.2.1:7000",
+		},
+		Zone: "quay",
+	}
+	st := g.state
+	for _, info := range []instance.Info{g.self, peer} {
+		st.members[info.Address] = member{
+			Info:      info,
+			allocates: true,
+		}
+	}
+	st.roster = roster.New(g.self, []instance.Info{g.self, peer})
+	st.zoneLoads = zoneload.New("mill", zoneload.WithRoundTrips(st.roundTrips))
+	st.zoneLoads.Receive(boot.Now(), zoneload.Report{
+		Service:     "desk",
+		Zone:        "quay",
+		Targets:     20,
+		Slots:       200,
+		ServiceTime: 100 * time.Millisecond,
+	})
+	return g
+}
+
+// newClaim returns a request of an instance of the zone for a slot.
+func newClaim(now time.Duration, number uint64, rank int) *slotClaim {
+	return &slotClaim{
+		key: claimKey{
+			origin: "10.0.1.2:7000",
+			number: number,
+		},
+		request: slotRequest{
+			Number:     number,
+			Service:    "desk",
+			Rank:       rank,
+			Repeatable: true,
+			Left:       time.Minute,
+			Expected:   100 * time.Millisecond,
+		},
+		deadline: now + time.Minute,
+		arrived:  now,
+	}
+}
+
+// Guards against a wait that is withdrawn just after it was granted, and counts as a use of a slot
+// that took no time: waits would be underestimated.
+func TestWithdrawnGrantIsNoUse(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	st := g.state
+	now := boot.Now()
+	c := newClaim(now, 1, 0)
+	c.key.origin = g.self.Address
+	s := st.services["desk"]
+	s.allocated()
+	is.True(st.grant(now, s, c))
+	a := &slotAsk{
+		gateway: g,
+		message: c.request,
+		waitsAt: g.self.Address,
+	}
+	time.Sleep(time.Millisecond)
+	a.withdraw()
+	is.Equal(len(st.allocator.claims), 0)
+	is.Equal(s.allocation.slotTime, time.Duration(0))
+}
