gateway: no attempt after a wait that ends too close to the stop

An instance that stops refuses attempts that aren't likely to be answered before its end, but it looked at that only before it asked for a slot. A request that waited for one when the stop began was sent whenever it was granted, and could be cut off as one that may have run. It now looks again once it has the slot, gives that back and refuses the request as not run.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -88,6 +88,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if acquired.grant != nil && g.stopsBefore(request) {
+			// The instance has begun to stop while the request waited for the slot.
+			acquired.takeBack(0)
+			return nil, entry.StoppingRefusal()
+		}
 		if limit.Kind != meter.Limited && !acquired.warmUp.Limits() {
 			acquired.start()
 			return acquired, nil
--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"dandelionmux/internal/boot"
+	"dandelionmux/internal/entry"
+	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/roster"
 	"dandelionmux/pkg/zoneload"
@@ -128,3 +132,56 @@
 	is.True(ok)
 	is.Equal(e.Rank, 0)
 }
+
+// Guards against an instance that begins to stop while a request waits for a slot, and sends it
+// although the answer would come too late.
+func TestNoAttemptAfterAWaitTooCloseToTheStop(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	st := g.state
+	st.roster = roster.New(g.self, []instance.Info{g.self})
+	st.startedAt = boot.Now() - time.Hour
+	g.snapshot.Store(&entry.Snapshot{
+		Index:        st.index,
+		TrustedUntil: boot.Now() + time.Hour,
+	})
+	s := st.services["desk"]
+	for range 6 {
+		_, ok := s.table.Take(boot.Now(), "desk-1")
+		is.True(ok)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := dispatcher{g}.Acquire(context.Background(), entry.SlotRequest{
+			Route: &document.Route{
+				Name:      "main",
+				Objective: 500 * time.Millisecond,
+			},
+			Service:    "desk",
+			Repeatable: true,
+			Deadline:   time.Now().Add(20 * time.Second),
+		})
+		done <- err
+	}()
+	waits := func() bool {
+		busy := false
+		st.withLock(func() { busy = s.isBusy() })
+		return busy
+	}
+	for !waits() {
+		time.Sleep(time.Millisecond)
+	}
+	g.publish(func(s *entry.Snapshot) { s.Leaving, s.StopBy = true, time.Now().Add(time.Millisecond) })
+	var out []outgoing
+	st.withLock(func() {
+		s.table.Ungrant(boot.Now(), st.grantee(g.self.Address, 0, false), "desk-1")
+		out = st.serveWaiting(boot.Now(), s)
+	})
+	g.post(out...)
+	err := <-done
+	var refusal *entry.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, entry.StoppingRefusal().Reason)
+	is.Equal(len(st.allocator.claims), 0) // the slot is free again
+	is.Equal(s.table.InUse(boot.Now(), "desk-1"), 5)
+}
