gateway: ignore the late decline of a zone that isn't asked any more

An allocator that has asked two zones in turn for the same request took a decline of the first, when it came late, for one of the second: it ended the request there and paused the second zone. A decline now counts only if it comes from the zone that is asked.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -174,7 +174,7 @@
 // waits for any more is released at once.
 func (g *Gateway) handleSlotResponse(from instance.Address, m slotResponse) {
 	if m.Origin != "" {
-		g.handleDecline(m)
+		g.handleDecline(from, m)
 		return
 	}
 	delivered := g.asks.deliver(slotAnswer{
--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -185,3 +185,31 @@
 	is.Equal(len(st.allocator.claims), 0) // the slot is free again
 	is.Equal(s.table.InUse(boot.Now(), "desk-1"), 5)
 }
+
+// Guards against a late answer of one zone that ends the request for a slot in another.
+func TestDeclineOfAnotherZoneIsIgnored(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	st := g.state
+	now := boot.Now()
+	s := st.services["desk"]
+	s.table.HoldFor(now+time.Hour, "desk-1")
+	c := newClaim(now, 1, 0)
+	c.key.origin = g.self.Address
+	s.allocated()
+	_, ok := st.forward(now, s, c)
+	is.True(ok)
+	decline := slotResponse{
+		Number: 1,
+		Origin: c.key.origin,
+	}
+	st.members["10.0.3.1:7000"] = member{
+		Info: instance.Info{
+			Zone: "dune",
+		},
+	}
+	g.handleSlotMessage("10.0.3.1:7000", decline)
+	is.Equal(c.state, claimForwarded)
+	g.handleSlotMessage("10.0.2.1:7000", decline)
+	is.Equal(c.state, claimWaiting)
+}
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -163,8 +163,9 @@
 	return st.enqueue(now, s, c)
 }
 
-// handleDecline has a request wait in its own zone that another one has declined.
-func (g *Gateway) handleDecline(m slotResponse) {
+// handleDecline has a request wait in its own zone that another one has declined. The request may
+// have been forwarded to a further zone if the answer comes late.
+func (g *Gateway) handleDecline(from instance.Address, m slotResponse) {
 	var out []outgoing
 	st := g.state
 	st.withLock(func() {
@@ -172,7 +173,7 @@
 			origin: m.Origin,
 			number: m.Number,
 		}]
-		if c == nil || c.state != claimForwarded {
+		if c == nil || c.state != claimForwarded || c.zone != st.members[from].Zone {
 			return
 		}
 		if s := st.services[c.request.Service]; s != nil {
