gateway: renew the unfit targets when a request asks for a slot again

The targets that an instance doesn't use for now, such as those held for a limit, were listed once, and a request that waited longer than they were held never got one of their slots. In a zone with few targets it could wait until its time was over although slots were free. The list is now made at each sending, and the allocator takes the new one.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -265,7 +265,6 @@
 			Repeatable:   request.Repeatable,
 			Beside:       request.Beside,
 			Tried:        slices.Clone(request.TriedTargets),
-			Unfit:        s.table.Unfit(now, maxUnfitTargets),
 			Expected:     s.latencies.Mean(request.Route.Name),
 			Objective:    request.Route.Objective,
 		},
@@ -357,7 +356,12 @@
 	case maxSlotSendings - 1:
 		g.state.markSilent(a.allocator, a.message.Service)
 	}
-	g.state.withLock(func() { a.allocator = g.state.allocatorIn(g.self.Zone, a.message.Service) })
+	g.state.withLock(func() {
+		a.allocator = g.state.allocatorIn(g.self.Zone, a.message.Service)
+		if s := g.state.services[a.message.Service]; s != nil {
+			a.message.Unfit = s.table.Unfit(boot.Now(), maxUnfitTargets)
+		}
+	})
 	if a.allocator == "" {
 		return false
 	}
--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -167,6 +167,7 @@
 		c.key.origin, c.remote = m.Origin, true
 	}
 	if known := st.allocator.claims[c.key]; known != nil {
+		known.request.Unfit = m.Unfit
 		return st.repeatAnswer(now, s, known)
 	}
 	al := s.allocated()
--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -213,3 +213,26 @@
 	g.handleSlotMessage("10.0.2.1:7000", decline)
 	is.Equal(c.state, claimWaiting)
 }
+
+// Guards against a request that waits on and on for targets that its instance could not use when it
+// asked first, and can use again.
+func TestAskingAgainRenewsUnfitTargets(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	st := g.state
+	st.roster = roster.New(g.self, []instance.Info{g.self})
+	st.startedAt = boot.Now() - time.Hour
+	g.snapshot.Store(&entry.Snapshot{
+		Index:        st.index,
+		TrustedUntil: boot.Now() + time.Hour,
+	})
+	s := st.services["desk"]
+	now := boot.Now()
+	m := newClaim(now, 1, 0).request
+	m.Unfit = []string{"desk-1"}
+	st.decideSlot(now, "10.0.1.2:7000", m)
+	is.Equal(len(st.serveWaiting(now, s)), 0)
+	m.Unfit = nil
+	st.decideSlot(now, "10.0.1.2:7000", m)
+	is.Equal(len(st.serveWaiting(now, s)), 1)
+}
