gateway: leave out idle services when zone loads are sent

Each tick worked out the room of all services that this instance has ever allocated, also if nobody had asked for a slot for hours: the report was made before it was looked at whether the service is in use. It is now made only for services in use.

--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -236,3 +236,12 @@
 	st.decideSlot(now, "10.0.1.2:7000", m)
 	is.Equal(len(st.serveWaiting(now, s)), 1)
 }
+
+// Guards against a tick that works out the state of all services that were ever allocated here.
+func TestIdleServicesCostNothingAtATick(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	g.state.services["desk"].allocated()
+	now := boot.Now() + time.Hour
+	is.Equal(testing.AllocsPerRun(10, func() { g.sendZoneLoads(now) }), 0.0)
+}
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -258,9 +258,11 @@
 // hold mu.
 func (st *localState) zoneLoadReports(now time.Duration, s *service) []outgoing {
 	self := st.gateway.self
+	if now-s.allocation.requestedAt >= allocationTerm {
+		return nil
+	}
 	report := st.zoneReport(now, s)
-	active := now-s.allocation.requestedAt < allocationTerm
-	if !active || !zoneload.Due(now, s.allocation.reportedAt, report, active) || st.allocatorIn(self.Zone, s.name) != self.Address {
+	if !zoneload.Due(now, s.allocation.reportedAt, report, true) || st.allocatorIn(self.Zone, s.name) != self.Address {
 		return nil
 	}
 	s.allocation.reportedAt = now
