gateway: a report outlasts the doubt about a target

While most links to a service are lost, its targets count as cold until it is clear that they run. A target that another instance reported as unreached meanwhile, or whose failure counted here, counted as warm again when the cause of the others turned out to be the links, and could get requests without a permit until its registration changed. Such a target is now left out when the doubts are withdrawn.

--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -13,6 +13,7 @@
 	"dandelionmux/pkg/document"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/roster"
+	"dandelionmux/pkg/target"
 	"dandelionmux/pkg/zoneload"
 )
 
@@ -245,3 +246,22 @@
 	now := boot.Now() + time.Hour
 	is.Equal(testing.AllocsPerRun(10, func() { g.sendZoneLoads(now) }), 0.0)
 }
+
+// Guards against a target that is down by the report of another instance, and counts as warm once
+// the links of this instance turn out to be lost: it would get requests without a permit.
+func TestReportOutlastsADoubt(t *testing.T) {
+	is := is.New(t)
+	g := newWarmUpGateway(true)
+	st := g.state
+	now := boot.Now()
+	s := st.services["desk"]
+	st.doubtTargets(now, "desk")
+	is.Equal(s.doubted, []string{"desk-1"})
+	st.receiveContact(now, failureReport{
+		Service: "desk",
+		Target:  "desk-1",
+		Outcome: target.Refused,
+	})
+	st.withdrawDoubts(s)
+	is.True(st.warmUps.Cold(now, "desk-1", st.warmUpPolicy("desk")))
+}
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"dandelionmux/internal/boot"
@@ -131,6 +132,7 @@
 		if s == nil || !g.state.warmUpPolicy(r.service).Limits() {
 			return
 		}
+		s.confirmDoubt(r.target)
 		g.state.setUnreached(now, r.service, r.target, r.outcome)
 		due = !told && now >= s.unreachedReportAt[r.target]
 		if due || told {
@@ -174,6 +176,11 @@
 	}
 }
 
+// confirmDoubt keeps withdrawDoubts from a target that could not be reached for another reason.
+func (s *service) confirmDoubt(name string) {
+	s.doubted = slices.DeleteFunc(s.doubted, func(doubted string) bool { return doubted == name })
+}
+
 // withdrawDoubts ends what doubtTargets has recorded, because another instance reaches the service.
 // The caller must hold mu.
 func (st *localState) withdrawDoubts(s *service) {
@@ -227,6 +234,7 @@
 func (st *localState) receiveContact(now time.Duration, m failureReport) {
 	switch {
 	case isUnreached(m.Outcome):
+		st.services[m.Service].confirmDoubt(m.Target)
 		if st.warmUpPolicy(m.Service).Limits() {
 			st.services[m.Service].unreachedReportAt[m.Target] = now + unreachedReportPeriod
 		}
