gateway: look up the other zones once for a request that is forwarded

Whether a request leaves its zone was decided from the state of the other zones, and the expected wait in its own from the same state, looked up once more. The first is now passed on. No test: the decision is the same.

--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -11,6 +11,7 @@
 	slotqueue "dandelionmux/pkg/admission"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/outlier"
+	"dandelionmux/pkg/zoneload"
 )
 
 const (
@@ -241,11 +242,17 @@
 // wait here may be served there. c tells how long requests take before any has ended. The caller must
 // hold mu.
 func (st *localState) capacity(now time.Duration, s *service, c *slotClaim) slotqueue.Capacity {
+	return st.capacityWith(now, s, c, st.zoneStates(now, s.name))
+}
+
+// capacityWith is capacity with the service's state in the other zones, which takes most of the time
+// to work out. The caller must hold mu.
+func (st *localState) capacityWith(now time.Duration, s *service, c *slotClaim, states []zoneload.State) slotqueue.Capacity {
 	capacity := slotqueue.Capacity{
 		Slots:       s.table.Room(now).Slots,
 		ServiceTime: s.allocation.slotTime,
 	}
-	remote := st.remoteCapacity(now, s.name)
+	remote := remoteCapacity(states)
 	capacity.Slots += remote.Slots
 	if capacity.ServiceTime == 0 {
 		capacity.ServiceTime = remote.ServiceTime
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -39,11 +39,10 @@
 }
 
 // remoteCapacity returns what the zones whose allocators have reported lately have free of a service
-// beyond the needs of their own callers. A zone that has slots counts with at least one. The caller must
-// hold mu.
-func (st *localState) remoteCapacity(now time.Duration, service string) slotqueue.Capacity {
+// beyond the needs of their own callers. A zone that has slots counts with at least one.
+func remoteCapacity(states []zoneload.State) slotqueue.Capacity {
 	var capacity slotqueue.Capacity
-	for _, state := range st.zoneStates(now, service) {
+	for _, state := range states {
 		if state.Age < heardTerm && state.Slots > 0 {
 			capacity.Slots += max(state.Spare(), 1)
 			capacity.ServiceTime = max(capacity.ServiceTime, state.ServiceTime)
@@ -67,7 +66,7 @@
 			RoundTrip: st.roundTrips.Estimate(now, state.Zone),
 		})
 	}
-	decision := spillover.Decide(st.home(now, s, c), c.spilling(now, s), zones, spillover.WithDraw(rand.Float64()))
+	decision := spillover.Decide(st.home(now, s, c, states), c.spilling(now, s), zones, spillover.WithDraw(rand.Float64()))
 	leave, ok := decision.(spillover.Leave)
 	if !ok {
 		return nil, false
@@ -92,13 +91,14 @@
 	}, true
 }
 
-// home returns the state of the service in this zone for a request. The caller must hold mu.
-func (st *localState) home(now time.Duration, s *service, c *slotClaim) spillover.Home {
+// home returns the state of the service in this zone for a request. states is that in the others. The
+// caller must hold mu.
+func (st *localState) home(now time.Duration, s *service, c *slotClaim, states []zoneload.State) spillover.Home {
 	room := s.table.Room(now)
 	return spillover.Home{
 		Free:    room.Free,
 		Waiting: s.allocation.queue.Len(),
-		Wait:    s.allocation.queue.Expect(now, c.entry(), st.capacity(now, s, c)),
+		Wait:    s.allocation.queue.Expect(now, c.entry(), st.capacityWith(now, s, c, states)),
 		Targets: room.Targets,
 	}
 }
