gateway: a repeated grant doesn't release the slot that is used

An instance that asks again after 25 ms gets the answer twice if the first one was only late. The second came when the request had its slot already, was taken for a grant that nobody waits for any more, and released the slot: it was granted to another request while the first still ran. Grants in use are now known by number and allocator, and are not released by a repeated answer.

--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -94,6 +94,8 @@
 	lastNumber atomic.Uint64
 	mu         sync.Mutex
 	answers    map[uint64]chan slotAnswer
+	// used holds the allocators of the grants that are in use.
+	used map[uint64]instance.Address
 }
 
 // newPendingSlots begins at a random number, so that an allocator doesn't take a request for one
@@ -101,6 +103,7 @@
 func newPendingSlots() *pendingSlots {
 	p := &pendingSlots{
 		answers: map[uint64]chan slotAnswer{},
+		used:    map[uint64]instance.Address{},
 	}
 	p.lastNumber.Store(uint64(rand.Uint32()))
 	return p
@@ -115,11 +118,31 @@
 	return number
 }
 
-// remove forgets a request that waits for answers no longer.
-func (p *pendingSlots) remove(number uint64) {
+// remove forgets a request that waits for answers no longer. If it was granted a slot, that is in
+// use until release.
+func (p *pendingSlots) remove(number uint64, decision slotAnswer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.answers, number)
+	if decision.Verdict == slotGranted {
+		p.used[number] = decision.from
+	}
+}
+
+// release ends the use of a grant.
+func (p *pendingSlots) release(number uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.used, number)
+}
+
+// isUsed reports whether a grant is in use. The allocator repeats the answer to a request that it
+// receives twice.
+func (p *pendingSlots) isUsed(number uint64, allocator instance.Address) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used, ok := p.used[number]
+	return ok && used == allocator
 }
 
 // deliver passes an answer to the request that waits for it, and reports whether one does.
@@ -181,7 +204,7 @@
 		slotResponse: m,
 		from:         from,
 	})
-	if !delivered && m.Verdict == slotGranted {
+	if !delivered && m.Verdict == slotGranted && !g.asks.isUsed(m.Number, from) {
 		g.releaseLate(from, m)
 	}
 }
@@ -288,6 +311,7 @@
 		switch {
 		case a.isOver(ctx):
 			if ok && answer.Verdict == slotGranted {
+				g.asks.release(answer.Number)
 				g.releaseLate(answer.from, answer.slotResponse)
 			}
 			return slotDenied{g.timeIsOver(ctx, a)}
@@ -415,7 +439,7 @@
 // the request is withdrawn from an allocator with which it still waits.
 func (a *slotAsk) end(decision slotAnswer) {
 	g := a.gateway
-	g.asks.remove(a.message.Number)
+	g.asks.remove(a.message.Number, decision)
 	for unread := true; unread; {
 		select {
 		case answer := <-a.answers:
@@ -440,6 +464,7 @@
 	if ok {
 		return obtained, true
 	}
+	g.asks.release(answer.Number)
 	g.count("Allocation.Unusable")
 	g.post(outgoing{
 		to: answer.from,
@@ -494,6 +519,7 @@
 	}
 	granted := *sl.grant
 	sl.grant = nil
+	sl.gateway.asks.release(granted.number)
 	sl.gateway.post(outgoing{
 		to: granted.allocator,
 		m: slotRelease{
--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -265,3 +265,30 @@
 	st.withdrawDoubts(s)
 	is.True(st.warmUps.Cold(now, "desk-1", st.warmUpPolicy("desk")))
 }
+
+// Guards against a repeated grant that is taken for a late one: the slot would be granted to another
+// request while it is used.
+func TestRepeatedGrantReleasesNothing(t *testing.T) {
+	is := is.New(t)
+	g := newAllocatingGateway()
+	st := g.state
+	now := boot.Now()
+	c := newClaim(now, 0, 0)
+	c.key.origin = g.self.Address
+	a := &slotAsk{
+		gateway: g,
+		answers: make(chan slotAnswer, maxUnreadAnswers),
+	}
+	c.key.number = g.asks.add(a.answers)
+	a.message.Number = c.key.number
+	st.services["desk"].allocated()
+	is.True(st.grant(now, st.services["desk"], c))
+	granted := c.granted().m.(slotResponse)
+	g.handleSlotResponse(g.self.Address, granted)
+	a.end(<-a.answers)
+	g.handleSlotResponse(g.self.Address, granted)
+	is.Equal(len(st.allocator.claims), 1)
+	g.asks.release(granted.Number)
+	g.handleSlotResponse(g.self.Address, granted) // nobody uses it
+	is.Equal(len(st.allocator.claims), 0)
+}
