--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -12,6 +12,7 @@
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/meter"
 	"dandelionmux/pkg/outlier"
+	"dandelionmux/pkg/zoneload"
 )
 
 const (
@@ -56,9 +57,11 @@
 	grantedAt time.Duration
 	// remote is set if the origin is in another zone.
 	remote bool
-	// zone was asked for a slot and answers before forwardedUntil.
+	// zone was asked for a slot and answers before forwardedUntil. dequeued is set if the request
+	// waited in the queue before, which has then counted it as served.
 	zone           string
 	forwardedUntil time.Duration
+	dequeued       bool
 }
 
 // allocator is what this instance knows as an allocator. It is guarded by localState.mu.
@@ -166,6 +169,7 @@
 		c.key.origin, c.remote = m.Origin, true
 	}
 	if known := st.allocator.claims[c.key]; known != nil {
+		known.request.Unfit = m.Unfit
 		return st.repeatAnswer(now, s, known)
 	}
 	al := s.allocated()
@@ -239,11 +243,17 @@
 // wait here may be served there. c tells how long requests take before any has ended. The caller must
 // hold mu.
 func (st *localState) capacity(now time.Duration, s *service, c *slotClaim) slotqueue.Capacity {
+	return st.capacityWith(now, s, c, st.zoneStates(now, s.name))
+}
+
+// capacityWith is capacity with the service's state in the other zones, which takes most of the time
+// to work out. The caller must hold mu.
+func (st *localState) capacityWith(now time.Duration, s *service, c *slotClaim, states []zoneload.State) slotqueue.Capacity {
 	capacity := slotqueue.Capacity{
 		Slots:       s.table.Room(now).Slots,
 		ServiceTime: s.allocation.slotTime,
 	}
-	remote := st.remoteCapacity(now, s.name)
+	remote := remoteCapacity(states)
 	capacity.Slots += remote.Slots
 	if capacity.ServiceTime == 0 {
 		capacity.ServiceTime = remote.ServiceTime
@@ -279,7 +289,7 @@
 		})
 	}
 	st.allocator.lastID++
-	c.id, c.state = st.allocator.lastID, claimWaiting
+	c.id, c.state, c.dequeued = st.allocator.lastID, claimWaiting, false
 	switch v := al.queue.Offer(now, c.entry(), capacity).(type) {
 	case slotqueue.Waits:
 		st.allocator.claims[c.key] = c
@@ -374,7 +384,9 @@
 	case claimForwarded:
 		// The instance has got a slot there, or the caller has left.
 		st.zoneLoads.Accepted(now, s.name, c.zone)
-		s.allocation.queue.Served(now, c.request.Rank)
+		if !c.dequeued {
+			s.allocation.queue.Served(now, c.request.Rank)
+		}
 		delete(s.allocation.pending, c)
 	case claimGranted:
 		if !m.uncounted {
