A declined request keeps its place; landings:

A request that had waited and was forwarded to another zone was admitted anew when that declined, by the stricter check on arrival, so it could be refused although it was waiting. It now goes back to its place. An instance declines to allocate a service whose slots aren't allocated in its zone. Two functions are split for the linter.

--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -153,7 +153,7 @@
 	s := st.services[m.Service]
 	// An instance that has just started doesn't know the load yet.
 	started := now >= st.startedAt+st.loadReportPeriod()
-	if s == nil || !started || !g.Current().Ready() || g.leaving.Load() {
+	if s == nil || !started || !st.isAllocated(s) || !g.Current().Ready() || g.leaving.Load() {
 		return decline(from, m)
 	}
 	c := &slotClaim{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -496,25 +496,7 @@
 	}
 	g.recordReached(report)
 	held := e.LostConnection && report.outcome != target.Cancelled
-	notify := false
-	g.state.withLock(func() {
-		s := g.state.services[sl.service]
-		if s != nil && sl.pending != nil {
-			s.inFlight.remove(sl)
-			s.table.End(sl.pending, ending(e, g.state.links.State(sl.service)))
-		}
-		switch {
-		case s == nil:
-		case held:
-			s.table.Done(boot.Now(), sl.target.Name, target.Cancelled)
-		default:
-			notify = s.table.Done(boot.Now(), sl.target.Name, report.outcome)
-			if report.outcome == target.Succeeded {
-				s.latencies.Add(sl.route, e.Latency)
-				notify = s.table.LaterSuccess(boot.Now(), sl.target.Name, sl.began) || notify
-			}
-		}
-	})
+	notify := sl.recordEnd(e, report.outcome, held)
 	sl.releaseGrant(0, e.Outcome != target.Succeeded && e.Outcome != target.Failed)
 	if e.Outcome == target.Crashed || e.Outcome == target.Disconnected {
 		g.count("Target.Died." + connectionKind(e.Reused))
@@ -526,6 +508,34 @@
 	}
 }
 
+// recordEnd records the end of the attempt in the service's table. held says that it isn't known yet
+// whether a failure counts for the target. It reports whether the other instances should be told of
+// the outcome.
+func (sl *slot) recordEnd(e entry.AttemptResult, outcome target.Outcome, held bool) bool {
+	st := sl.gateway.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	s := st.services[sl.service]
+	if s == nil {
+		return false
+	}
+	if sl.pending != nil {
+		s.inFlight.remove(sl)
+		s.table.End(sl.pending, ending(e, st.links.State(sl.service)))
+	}
+	now := boot.Now()
+	if held {
+		s.table.Done(now, sl.target.Name, target.Cancelled)
+		return false
+	}
+	notify := s.table.Done(now, sl.target.Name, outcome)
+	if outcome != target.Succeeded {
+		return notify
+	}
+	s.latencies.Add(sl.route, e.Latency)
+	return s.table.LaterSuccess(now, sl.target.Name, sl.began) || notify
+}
+
 // ending returns what the end of an attempt says about whether its target answers, given
 // the state of the links to its service.
 func ending(e entry.AttemptResult, links link.State) outlier.Ending {
--- a/internal/gateway/slotmessage.go
+++ b/internal/gateway/slotmessage.go
@@ -223,18 +223,7 @@
 		b.flag(slotFieldUnused, m.Unused)
 		return b.datagram(slotReleaseType)
 	case zoneLoadReport:
-		b.text(slotFieldService, m.Service)
-		b.text(slotFieldZone, m.Zone)
-		b.number(slotFieldTargets, uint64(m.Targets))
-		b.number(slotFieldSlots, uint64(m.Slots))
-		b.number(slotFieldInUse, uint64(m.InUse))
-		b.number(slotFieldWaiting, uint64(m.Waiting))
-		b.millis(slotFieldServiceTime, m.ServiceTime)
-		b.micros(slotFieldSentAt, m.SentAt)
-		b.micros(slotFieldEchoedAt, m.EchoedAt)
-		b.micros(slotFieldHeldFor, m.HeldFor)
-		b.flag(slotFieldVacated, m.Vacated)
-		return b.datagram(zoneLoadType)
+		return encodeZoneLoad(m)
 	}
 	return nil
 }
@@ -333,6 +322,23 @@
 	return m, err
 }
 
+// encodeZoneLoad returns the wire form of a report to other zones.
+func encodeZoneLoad(m zoneLoadReport) []byte {
+	var b slotBody
+	b.text(slotFieldService, m.Service)
+	b.text(slotFieldZone, m.Zone)
+	b.number(slotFieldTargets, uint64(m.Targets))
+	b.number(slotFieldSlots, uint64(m.Slots))
+	b.number(slotFieldInUse, uint64(m.InUse))
+	b.number(slotFieldWaiting, uint64(m.Waiting))
+	b.millis(slotFieldServiceTime, m.ServiceTime)
+	b.micros(slotFieldSentAt, m.SentAt)
+	b.micros(slotFieldEchoedAt, m.EchoedAt)
+	b.micros(slotFieldHeldFor, m.HeldFor)
+	b.flag(slotFieldVacated, m.Vacated)
+	return b.datagram(zoneLoadType)
+}
+
 // decodeZoneLoad decodes the body of a zoneLoadReport.
 func decodeZoneLoad(body string) (message, error) {
 	var m zoneLoadReport
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -159,8 +159,14 @@
 func (st *localState) endForward(now time.Duration, s *service, c *slotClaim) []outgoing {
 	st.zoneLoads.Declined(now, s.name, c.zone)
 	st.gateway.count("Allocation.DeclinedBy." + c.zone)
-	delete(s.allocation.pending, c)
-	return st.enqueue(now, s, c)
+	if !c.dequeued {
+		delete(s.allocation.pending, c)
+		return st.enqueue(now, s, c)
+	}
+	// It has been admitted already, and keeps its place.
+	c.state, c.dequeued = claimWaiting, false
+	s.allocation.queue.PutBack(now, c.entry())
+	return []outgoing{c.waiting(s.allocation.queue.Expect(now, c.entry(), st.capacity(now, s, c)))}
 }
 
 // handleDecline has a request wait in its own zone that another one has declined. The request may
