--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -24,6 +24,10 @@
 	claimGrace       = time.Second
 	// slotTimeWeight is the weight of the last use of a slot in the mean.
 	slotTimeWeight = 0.05
+	// maxHold is the longest time for which a refused permit holds a target. The keeper spreads those
+	// that come back over up to 2 s, but only one allocator does, and a sound target that gets
+	// nothing for 2 s counts as unused capacity.
+	maxHold = 300 * time.Millisecond
 	// maxPassedOver is how many waiting requests that can't use the free slots are passed over.
 	maxPassedOver = 4
 )
@@ -393,7 +397,7 @@
 			s.table.Ungrant(now, st.grantee(from, 0, c.remote), c.target)
 		}
 		if m.Hold > 0 && st.isLimited(now, s, c.target) {
-			s.table.HoldFor(now+m.Hold, c.target)
+			s.table.HoldFor(now+min(m.Hold, maxHold), c.target)
 		}
 		if !m.Unused {
 			s.allocation.recordSlotTime(now - c.grantedAt)
--- a/pkg/outlier/grant.go
+++ b/pkg/outlier/grant.go
@@ -12,10 +12,6 @@
 // 100 ms once it has used up its processor time.
 const reportLag = 100 * time.Millisecond
 
-// coldLoad is added to the load of a target that warms up. It exceeds the load of other targets with a
-// free slot and some recent errors.
-const coldLoad = 4
-
 // Grantee is the instance that a target is granted to.
 type Grantee struct {
 	// Instance is the instance's address; empty for the table's own instance, whose requests
@@ -94,8 +90,8 @@
 			continue
 		}
 		load := s.load(now) + float64(s.errorCount)/float64(max(s.Slots, 1))
-		if t.isCold(now, s.Name) {
-			load += coldLoad
+		if now >= s.warmUntil && t.isCold(now, s.Name) {
+			load *= 2 // as for a target whose registration says so
 		}
 		switch {
 		case best == nil || load < bestLoad:
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -201,8 +201,8 @@
 // all, not even if the others are too few. By default no zone is evacuated.
 func (t *Table) SetEvacuated(isEvacuated func(zone string) bool) { t.isEvacuated = isEvacuated }
 
-// SetCold sets the function that reports whether a target warms up. Such a target is granted only if
-// no other has a free slot.
+// SetCold sets the function that reports whether a target warms up, also if its registration doesn't say
+// so. The load of such a target counts twice when slots are granted.
 func (t *Table) SetCold(isCold func(now time.Duration, name string) bool) { t.isCold = isCold }
 
 // outOfUse reports whether a target gets no requests until its registration or an operator says
