dandelionctl: explain tells where a request would go, and why

Cause: an operator who asks why a request went to a target, waited or was refused has only the logs of requests that were sent and counters by service.

Change: GET /explain on the metrics listener tells, for a request that isn't sent, the route, the rank, the services with their allocator and room, each target with the reason for or against it, and the outcome. dandelionctl explain prints it. outlier.Table.Explain lists the targets; it shares their classification with the choice of a target, the handler shares the reasons of refusals and the zones that a request may leave for. The wait is estimated, because Queue.Expect updates measurements.

Result: TestExplainTellsOutcomeAndChangesNothing finds the outcomes granted, waits, leaves, refused and undecided, and unchanged counters after seven explanations.

--- a/cmd/dandelionctl/main.go
+++ b/cmd/dandelionctl/main.go
@@ -10,6 +10,7 @@
 //	dandelionctl history
 //	dandelionctl status 10.0.0.1:9000 10.0.0.2:9000
 //	dandelionctl story 9c41d07be2a35f68 instance-*.log
+//	dandelionctl explain -path /orders -organisation rewa 10.0.0.1:9464
 package main
 
 import (
@@ -87,6 +88,7 @@
 			p.keyCommand(),
 			p.shareCommand(),
 			p.storyCommand(),
+			p.explainCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			return errors.Wrap(errUsage, "no such command; see dandelionctl -help")
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -189,6 +189,20 @@
 	return acquired, st.targetLimits.Limit(chosen.Name)
 }
 
+// noTargetReason returns why no target takes a request, given how long none does.
+func (s *service) noTargetReason(wait outlier.Wait) string {
+	switch {
+	case s.table.OnlyEvacuated():
+		return "zone-evacuated"
+	case wait.Resting:
+		return "targets-resting"
+	case wait.Until > 0:
+		return "targets-limited"
+	default:
+		return "no-target"
+	}
+}
+
 // noTarget refuses a request for which there is no target.
 func (g *Gateway) noTarget(ctx context.Context, request entry.SlotRequest) error {
 	refusal := &entry.Refusal{
@@ -204,15 +218,14 @@
 		if s == nil {
 			return
 		}
-		switch wait := s.table.Wait(boot.Now()); {
-		case s.table.OnlyEvacuated():
-			refusal.Reason = "zone-evacuated"
-		case wait.Resting:
+		wait := s.table.Wait(boot.Now())
+		refusal.Reason = s.noTargetReason(wait)
+		switch refusal.Reason {
+		case "targets-resting":
 			// Those who come back at the same moment would all meet the same target.
-			refusal.Reason = "targets-resting"
 			refusal.RetryAfter = wait.Until + rand.N(max(wait.Until/2, minRestSpread))
-		case wait.Until > 0:
-			refusal.Reason, refusal.RetryAfter = "targets-limited", wait.Until
+		case "targets-limited":
+			refusal.RetryAfter = wait.Until
 		}
 	})
 	g.logger.Warn("service has no available target",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,7 +247,7 @@
 	g.serveCallers()
 	g.serve(readyListener, http.HandlerFunc(g.serveReady))
 	g.serve(peerListener, http.HandlerFunc(g.servePeer))
-	g.serve(metricsListener, http.HandlerFunc(g.serveMetrics))
+	g.serve(metricsListener, http.HandlerFunc(g.serveOperators))
 	g.goTask(g.receive)
 	g.goLoop(ctx, g.maintainMirror)
 	membership, deregister := context.WithCancel(ctx)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,6 +38,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// serveOperators serves the metrics listener.
+func (g *Gateway) serveOperators(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == explainPath {
+		g.serveExplanation(w, r)
+		return
+	}
+	g.serveMetrics(w, r)
+}
+
 // serveMetrics writes all counters and gauges as text, one a line.
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	if confirmedAt, ok := g.confirmedAt(); ok {
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -58,15 +58,7 @@
 	if len(states) == 0 {
 		return nil, false
 	}
-	zones := make([]spillover.Zone, 0, len(states))
-	for _, state := range states {
-		zones = append(zones, spillover.Zone{
-			Name:      state.Zone,
-			Free:      state.Free,
-			RoundTrip: st.roundTrips.Estimate(now, state.Zone),
-		})
-	}
-	decision := spillover.Decide(st.home(now, s, c, states), c.spilling(now, s), zones, spillover.WithDraw(rand.Float64()))
+	decision := spillover.Decide(st.home(now, s, c, states), c.spilling(now, s), st.spillZones(now, states), spillover.WithDraw(rand.Float64()))
 	leave, ok := decision.(spillover.Leave)
 	if !ok {
 		return nil, false
@@ -91,6 +83,19 @@
 	}, true
 }
 
+// spillZones returns the zones that a request may leave for. The caller must hold mu.
+func (st *localState) spillZones(now time.Duration, states []zoneload.State) []spillover.Zone {
+	zones := make([]spillover.Zone, 0, len(states))
+	for _, state := range states {
+		zones = append(zones, spillover.Zone{
+			Name:      state.Zone,
+			Free:      state.Free,
+			RoundTrip: st.roundTrips.Estimate(now, state.Zone),
+		})
+	}
+	return zones
+}
+
 // home returns the state of the service in this zone for a request. states is that in the others. The
 // caller must hold mu.
 func (st *localState) home(now time.Duration, s *service, c *slotClaim, states []zoneload.State) spillover.Home {
--- a/pkg/outlier/table.go
+++ b/pkg/outlier/table.go
@@ -285,20 +285,18 @@
 	var healthy, onProbation, degraded, ejected []*targetState
 	all := 0
 	for _, s := range t.order {
-		if t.outOfUse(s) || t.isForeign(s, r) {
-			continue
+		standing := t.standing(now, r, s)
+		if standing > Foreign {
+			all++
 		}
-		all++
-		switch {
-		case r.Spare && spareSlotFactor*(s.inUse(now)+1) > s.Slots:
-		case r.passesOver(s.Name), now < s.heldUntil, now < s.restUntil:
-		case now < s.ejectedUntil && s.lostRequests:
+		switch standing {
+		case EjectedLost:
 			ejected = append(ejected, s)
-		case now < s.ejectedUntil || now < s.pausedUntil:
+		case Ejected, Paused:
 			degraded = append(degraded, s)
-		case now < s.probationUntil:
+		case OnProbation:
 			onProbation = append(onProbation, s)
-		default:
+		case Healthy:
 			healthy = append(healthy, s)
 		}
 	}
