--- a/internal/gateway/allocation.go
+++ b/internal/gateway/allocation.go
@@ -66,17 +66,17 @@
 // one. The caller must hold mu.
 func (st *localState) allocatorIn(zone, service string) instance.Address {
 	return st.roster.CapableKeeper(zone, slotKind, service, func(a instance.Address) bool {
-		_, silent := st.silentAllocators[a]
-		return !silent && st.members[a].allocates && !st.unresponsive(a)
+		_, unanswered := st.unansweredAllocators[a]
+		return !unanswered && st.members[a].allocates && !st.unresponsive(a)
 	})
 }
 
-// markSilent excludes, for unresponsivePeriod, an allocator that did not answer. It goes on
+// markUnanswered excludes, for unresponsivePeriod, an allocator that did not answer. It goes on
 // keeping rates and budgets, which have longer timeouts: a second keeper of a rate would grant
 // more than the rate.
-func (st *localState) markSilent(a instance.Address, service string) {
-	st.withLock(func() { st.silentAllocators[a] = boot.Now() + unresponsivePeriod })
-	st.gateway.count("Allocation.Silent")
+func (st *localState) markUnanswered(a instance.Address, service string) {
+	st.withLock(func() { st.unansweredAllocators[a] = boot.Now() + unresponsivePeriod })
+	st.gateway.count("Allocation.Unanswered")
 	st.gateway.logger.Warn("allocator did not answer",
 		slog.String("Peer", string(a)),
 		slog.String("Service", service))
@@ -347,9 +347,9 @@
 func (a *slotAsk) await(ctx context.Context) (slotAnswer, bool) {
 	a.sendings, a.waitsAt = 0, ""
 	for a.ask() {
-		patience := slotTimeout
+		timeout := slotTimeout
 		for {
-			answer, ok := a.receive(ctx, patience)
+			answer, ok := a.receive(ctx, timeout)
 			if !ok {
 				break
 			}
@@ -360,7 +360,7 @@
 			if answer.Reason != "" {
 				a.reason = answer.Reason
 			}
-			patience = answer.Wait + waitMargin
+			timeout = answer.Wait + waitMargin
 		}
 		if a.isOver(ctx) {
 			return slotAnswer{}, false
@@ -375,10 +375,10 @@
 	g := a.gateway
 	switch a.sendings {
 	case maxSlotSendings:
-		g.state.markSilent(a.allocator, a.message.Service)
+		g.state.markUnanswered(a.allocator, a.message.Service)
 		return false
 	case maxSlotSendings - 1:
-		g.state.markSilent(a.allocator, a.message.Service)
+		g.state.markUnanswered(a.allocator, a.message.Service)
 	}
 	g.state.withLock(func() {
 		a.allocator = g.state.allocatorIn(g.self.Zone, a.message.Service)
@@ -418,13 +418,13 @@
 }
 
 // receive waits for an answer. It returns false if none comes in time, or if the caller leaves.
-func (a *slotAsk) receive(ctx context.Context, patience time.Duration) (slotAnswer, bool) {
+func (a *slotAsk) receive(ctx context.Context, timeout time.Duration) (slotAnswer, bool) {
 	select {
 	case answer := <-a.answers:
 		return answer, true
 	default:
 	}
-	timer := time.NewTimer(min(patience, max(time.Until(a.request.Deadline), 0)))
+	timer := time.NewTimer(min(timeout, max(time.Until(a.request.Deadline), 0)))
 	defer timer.Stop()
 	select {
 	case answer := <-a.answers:
--- a/internal/gateway/allocation_test.go
+++ b/internal/gateway/allocation_test.go
@@ -120,7 +120,7 @@
 	f.clients[at].setBlocked(true) // it stays registered
 	time.AfterFunc(slotWork/2, allocator.Close)
 	f.areServed(12)
-	is.New(t).True(f.total("Allocation.Silent") > 0)
+	is.New(t).True(f.total("Allocation.Unanswered") > 0)
 	f.awaitIdle()
 }
 
@@ -139,7 +139,7 @@
 		{name: "an allocator never answers", kind: "slotResponse", counter: "Allocation.Fallback"},
 		{name: "answers are late", kind: "slotResponse", delay: 4 * slotWork, counter: "Allocation.Late"},
 		{name: "releases are lost", kind: "slotRelease", counter: "Allocation.Granted"},
-		{name: "two allocators", kind: "slotResponse", toOne: true, counter: "Allocation.Silent"},
+		{name: "two allocators", kind: "slotResponse", toOne: true, counter: "Allocation.Unanswered"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -172,7 +172,7 @@
 	f := newSlotFleet(t, 3, 4, 8, gateway.WithoutAllocating())
 	is.Equal(f.instances[0].Allocator("desk"), "")
 	f.areServed(3)
-	is.Equal(f.total("Allocation.Granted")+f.total("Allocation.Silent"), 0)
+	is.Equal(f.total("Allocation.Granted")+f.total("Allocation.Unanswered"), 0)
 	f.startInstance("a", gateway.WithAllocation(1, 1))
 	f.awaitMembers()
 	for _, g := range f.instances {
--- a/internal/gateway/allocator.go
+++ b/internal/gateway/allocator.go
@@ -514,7 +514,7 @@
 	return out
 }
 
-// expireClaims forgets slots whose releases were lost, and allocators' silences that are over.
+// expireClaims forgets slots whose releases were lost, and which allocators did not answer.
 // The caller must hold mu.
 func (st *localState) expireClaims(now time.Duration) {
 	for key, c := range st.allocator.claims {
@@ -522,9 +522,9 @@
 			delete(st.allocator.claims, key)
 		}
 	}
-	for a, until := range st.silentAllocators {
+	for a, until := range st.unansweredAllocators {
 		if now >= until {
-			delete(st.silentAllocators, a)
+			delete(st.unansweredAllocators, a)
 		}
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,8 +56,8 @@
 	// unreachedReportAt holds when it may next be reported of a target that it could not be
 	// reached.
 	unreachedReportAt map[string]time.Duration
-	// doubted holds the targets that count as cold only because the service was impaired.
-	doubted []string
+	// suspected holds the targets that count as cold only because the service was impaired.
+	suspected []string
 	// newRequests counts the requests begun since countingSince, for the next decision
 	// request about a retry. countingSince is when that count was last sent or restarted.
 	newRequests   int
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -133,11 +133,11 @@
 			}
 		}
 		for _, name := range actions.Impaired {
-			st.doubtTargets(now, name)
+			st.suspectTargets(now, name)
 		}
 		for _, name := range actions.Lost {
 			if s := st.services[name]; s != nil {
-				st.withdrawDoubts(s)
+				st.withdrawSuspects(s)
 				s.inFlight.notifyAll()
 			}
 		}
@@ -180,7 +180,7 @@
 // later if the target turns out to have ended.
 func (g *Gateway) recordExcused(f link.Failure[attemptReport]) {
 	g.count("Link.Excused." + f.Report.outcome.String())
-	g.recordDoubt(f)
+	g.recordSuspect(f)
 	attributes := []any{
 		slog.String("Service", f.Service),
 		slog.String("Target", f.Target),
--- a/internal/gateway/review_internal_test.go
+++ b/internal/gateway/review_internal_test.go
@@ -255,14 +255,14 @@
 	st := g.state
 	now := boot.Now()
 	s := st.services["desk"]
-	st.doubtTargets(now, "desk")
-	is.Equal(s.doubted, []string{"desk-1"})
+	st.suspectTargets(now, "desk")
+	is.Equal(s.suspected, []string{"desk-1"})
 	st.receiveContact(now, failureReport{
 		Service: "desk",
 		Target:  "desk-1",
 		Outcome: target.Refused,
 	})
-	st.withdrawDoubts(s)
+	st.withdrawSuspects(s)
 	is.True(st.warmUps.Cold(now, "desk-1", st.warmUpPolicy("desk")))
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -112,10 +112,10 @@
 	// store rejects must go on keeping rates, since two keepers of one rate would grant
 	// more than the rate.
 	unresponsiveUntil map[instance.Address]time.Duration
-	// silentAllocators holds the allocators that did not answer, with the time until which each
+	// unansweredAllocators holds the allocators that did not answer, with the time until which each
 	// is skipped.
-	silentAllocators map[instance.Address]time.Duration
-	allocator        allocator
+	unansweredAllocators map[instance.Address]time.Duration
+	allocator            allocator
 	// zoneLoads is what this instance knows as an allocator of other zones, and roundTrips how
 	// long messages take there and back.
 	zoneLoads  *zoneload.Table
@@ -245,23 +245,23 @@
 			Base:  g.settings.BaseRetries,
 			Span:  g.settings.RetryWindow,
 		}),
-		targetLimits:      meter.NewTargetLimits(),
-		warmUps:           warmup.NewLimiter(),
-		evacuated:         evacuation.New(),
-		strikes:           quarantine.NewTally(),
-		links:             link.New[attemptReport](newRandom()),
-		targetAt:          map[string]targetName{},
-		linksChanged:      make(chan struct{}),
-		helpers:           link.NewHelpers(),
-		formerUntil:       map[string]time.Duration{},
-		unresponsiveUntil: map[instance.Address]time.Duration{},
-		silentAllocators:  map[instance.Address]time.Duration{},
-		allocator:         newAllocator(),
-		source:            source.New(g.self),
-		mirrorChanged:     make(chan struct{}),
-		lastDatagramAt:    map[instance.Address]time.Duration{},
-		ages:              roster.NewAges(g.self.Address, now),
-		startedAt:         now,
+		targetLimits:         meter.NewTargetLimits(),
+		warmUps:              warmup.NewLimiter(),
+		evacuated:            evacuation.New(),
+		strikes:              quarantine.NewTally(),
+		links:                link.New[attemptReport](newRandom()),
+		targetAt:             map[string]targetName{},
+		linksChanged:         make(chan struct{}),
+		helpers:              link.NewHelpers(),
+		formerUntil:          map[string]time.Duration{},
+		unresponsiveUntil:    map[instance.Address]time.Duration{},
+		unansweredAllocators: map[instance.Address]time.Duration{},
+		allocator:            newAllocator(),
+		source:               source.New(g.self),
+		mirrorChanged:        make(chan struct{}),
+		lastDatagramAt:       map[instance.Address]time.Duration{},
+		ages:                 roster.NewAges(g.self.Address, now),
+		startedAt:            now,
 	}
 }
 
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -132,7 +132,7 @@
 		if s == nil || !g.state.warmUpPolicy(r.service).Limits() {
 			return
 		}
-		s.confirmDoubt(r.target)
+		s.confirmUnreached(r.target)
 		g.state.setUnreached(now, r.service, r.target, r.outcome)
 		due = !told && now >= s.unreachedReportAt[r.target]
 		if due || told {
@@ -148,11 +148,11 @@
 	}
 }
 
-// recordDoubt records a failure that doesn't count against its target. Unless another instance has
+// recordSuspect records a failure that doesn't count against its target. Unless another instance has
 // reached the target since, it may have come back cold all the same: an instance that reaches no
 // target can't tell whether its links were lost or all targets were down. The others aren't told,
 // because the cause may be here.
-func (g *Gateway) recordDoubt(f link.Failure[attemptReport]) {
+func (g *Gateway) recordSuspect(f link.Failure[attemptReport]) {
 	r := f.Report
 	if f.Excuse == link.ReachedByOthers || f.Excuse == link.TargetRemoved || r.unsent || !isUnreached(r.outcome) {
 		return
@@ -160,34 +160,34 @@
 	g.state.withLock(func() { g.state.setUnreached(boot.Now(), r.service, r.target, r.outcome) })
 }
 
-// doubtTargets records that most targets of a service can't be connected to: unless another instance
+// suspectTargets records that most targets of a service can't be connected to: unless another instance
 // reaches any, they may all be down and come back cold. The caller must hold mu.
-func (st *localState) doubtTargets(now time.Duration, service string) {
+func (st *localState) suspectTargets(now time.Duration, service string) {
 	s := st.services[service]
 	p := st.warmUpPolicy(service)
 	if s == nil || !p.Limits() {
 		return
 	}
-	s.doubted = nil
+	s.suspected = nil
 	for _, a := range s.table.Availabilities(now) {
 		if !st.links.Connected(service, a.Name) && st.setUnreached(now, service, a.Name, target.Refused) {
-			s.doubted = append(s.doubted, a.Name)
+			s.suspected = append(s.suspected, a.Name)
 		}
 	}
 }
 
-// confirmDoubt keeps withdrawDoubts from a target that could not be reached for another reason.
-func (s *service) confirmDoubt(name string) {
-	s.doubted = slices.DeleteFunc(s.doubted, func(doubted string) bool { return doubted == name })
+// confirmUnreached keeps withdrawSuspects from a target that could not be reached for another reason.
+func (s *service) confirmUnreached(name string) {
+	s.suspected = slices.DeleteFunc(s.suspected, func(suspected string) bool { return suspected == name })
 }
 
-// withdrawDoubts ends what doubtTargets has recorded, because another instance reaches the service.
+// withdrawSuspects ends what suspectTargets has recorded, because another instance reaches the service.
 // The caller must hold mu.
-func (st *localState) withdrawDoubts(s *service) {
-	for _, name := range s.doubted {
+func (st *localState) withdrawSuspects(s *service) {
+	for _, name := range s.suspected {
 		st.warmUps.Withdraw(name)
 	}
-	s.doubted = nil
+	s.suspected = nil
 }
 
 // setUnreached records that a target could not be reached, by this instance or another one, and
@@ -234,7 +234,7 @@
 func (st *localState) receiveContact(now time.Duration, m failureReport) {
 	switch {
 	case isUnreached(m.Outcome):
-		st.services[m.Service].confirmDoubt(m.Target)
+		st.services[m.Service].confirmUnreached(m.Target)
 		if st.warmUpPolicy(m.Service).Limits() {
 			st.services[m.Service].unreachedReportAt[m.Target] = now + unreachedReportPeriod
 		}
--- a/internal/gateway/zoneloads.go
+++ b/internal/gateway/zoneloads.go
@@ -64,8 +64,8 @@
 		return nil, false
 	}
 	st.zoneLoads.Sent(now, s.name, leave.Zone)
-	patience := st.roundTrips.Estimate(now, leave.Zone) + slotTimeout
-	c.state, c.zone, c.forwardedUntil = claimForwarded, leave.Zone, now+patience
+	timeout := st.roundTrips.Estimate(now, leave.Zone) + slotTimeout
+	c.state, c.zone, c.forwardedUntil = claimForwarded, leave.Zone, now+timeout
 	st.allocator.claims[c.key] = c
 	s.allocation.pending[c] = struct{}{}
 	m := c.request
@@ -77,7 +77,7 @@
 		},
 		c.answer(slotResponse{
 			Verdict: slotWaiting,
-			Wait:    patience,
+			Wait:    timeout,
 			Reason:  leave.Reason,
 		}),
 	}, true
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -42,7 +42,7 @@
 	items   map[uint64]*item[T]
 	// ranks holds the ranks in order, the most urgent first.
 	ranks []*rank[T]
-	// lapsed holds entries that were found to be hopeless, or displaced, between two
+	// lapsed holds entries that were found to be unservable, or displaced, between two
 	// calls of Expire. They no longer count as queued.
 	lapsed   []Entry[T]
 	sequence int64
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -205,8 +205,8 @@
 		for _, r := range q.ranks {
 			o := q.outlook(now, r, rate)
 			o.urgent = kept
-			hopeless, n := r.hopeless(now, o, c)
-			for _, i := range hopeless {
+			unservable, n := r.unservable(now, o, c)
+			for _, i := range unservable {
 				q.lapse(i)
 			}
 			kept += n
@@ -217,10 +217,10 @@
 	return expired
 }
 
-// hopeless returns the items that can't be served within their time, and the number of
+// unservable returns the items that can't be served within their time, and the number of
 // the others. It goes through the items in the order in which they are served, so that an
 // item that is removed leaves its place to the next.
-func (r *rank[T]) hopeless(now time.Duration, o outlook, c Capacity) (hopeless []*item[T], kept int) {
+func (r *rank[T]) unservable(now time.Duration, o outlook, c Capacity) (unservable []*item[T], kept int) {
 	type turn struct{ items []*item[T] }
 	turns := make([]turn, 0, r.turns.Len())
 	for e := r.turns.Front(); e != nil; e = e.Next() {
@@ -233,7 +233,7 @@
 		for _, t := range turns {
 			start := now + o.wait(float64(kept), o.certain)
 			for len(t.items) > 0 && start+serviceTime(t.items[0].entry, c) > t.items[0].entry.Deadline {
-				hopeless = append(hopeless, t.items[0])
+				unservable = append(unservable, t.items[0])
 				t.items = t.items[1:]
 			}
 			if len(t.items) > 0 {
@@ -246,5 +246,5 @@
 		}
 		turns = left
 	}
-	return hopeless, kept
+	return unservable, kept
 }
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -18,10 +18,10 @@
 	// learningTime is how long a keeper grants nothing after it has learnt that a target is
 	// cold. Others may learn that up to PermitTerm later.
 	learningTime = grantSpan
-	// hearsayTerm is how long a keeper that learns only from requests that a target is cold
+	// reportedTerm is how long a keeper that learns only from requests that a target is cold
 	// relies on that. A request after a longer pause may be about another cold time. Shorter
 	// terms would refuse most requests of a service with little traffic.
-	hearsayTerm = time.Minute
+	reportedTerm = time.Minute
 	// keepers is the number of instances that may consider themselves the keeper of a
 	// target at a time.
 	keepers = 2
@@ -77,9 +77,9 @@
 type budget struct {
 	level    float64
 	filledAt time.Duration
-	// silentUntil is until when nothing is granted.
-	silentUntil time.Duration
-	askedAt     time.Duration
+	// blockedUntil is until when nothing is granted.
+	blockedUntil time.Duration
+	askedAt      time.Duration
 	// granted holds when permits were granted within grantSpan, oldest first.
 	granted []time.Duration
 	// lastRetry is the latest time for which a retry of a refused request is scheduled.
@@ -109,7 +109,7 @@
 	f(s)
 	began := !before && s.cold(now, p)
 	if began && s.budget != nil {
-		s.budget.silence(now)
+		s.budget.block(now)
 	}
 	return began
 }
@@ -174,9 +174,9 @@
 	case s.budget == nil:
 		// Another keeper may have granted permits until now.
 		s.budget = &budget{}
-		s.budget.silence(now)
-	case !s.cold(now, p) && now > s.budget.askedAt+hearsayTerm:
-		s.budget.silence(now)
+		s.budget.block(now)
+	case !s.cold(now, p) && now > s.budget.askedAt+reportedTerm:
+		s.budget.block(now)
 	}
 	s.budget.askedAt = now
 	return s.budget.take(now, p)
@@ -187,10 +187,10 @@
 	maps.DeleteFunc(l.targets, func(name string, _ *targetState) bool { return !isTarget(name) })
 }
 
-// silence lets the budget grant nothing for learningTime.
-func (b *budget) silence(now time.Duration) {
-	b.silentUntil = now + learningTime
-	b.level, b.filledAt = 0, b.silentUntil
+// block lets the budget grant nothing for learningTime.
+func (b *budget) block(now time.Duration) {
+	b.blockedUntil = now + learningTime
+	b.level, b.filledAt = 0, b.blockedUntil
 }
 
 func (b *budget) take(now time.Duration, p Policy) meter.Decision {
@@ -200,7 +200,7 @@
 		b.filledAt = now
 	}
 	decision := meter.Decision{
-		Granted:   now >= b.silentUntil && b.level >= 1 && len(b.granted) < int(p.Bound()/keepers),
+		Granted:   now >= b.blockedUntil && b.level >= 1 && len(b.granted) < int(p.Bound()/keepers),
 		PerSecond: p.PerSecond,
 		Level:     b.level,
 	}
@@ -217,6 +217,6 @@
 // scheduled. If all came back at once, most would be refused again.
 func (b *budget) scheduleRetry(now time.Duration, p Policy) time.Duration {
 	interval := time.Duration(min(1/p.PerSecond, maxHold.Seconds()) * float64(time.Second))
-	b.lastRetry = min(max(b.lastRetry, b.silentUntil, now)+interval, now+maxHold)
+	b.lastRetry = min(max(b.lastRetry, b.blockedUntil, now)+interval, now+maxHold)
 	return max(b.lastRetry-now, minHold)
 }
--- a/pkg/zoneload/zoneload.go
+++ b/pkg/zoneload/zoneload.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// Unheard is the age of a report that was never received.
-	Unheard = time.Duration(math.MaxInt64)
+	// NeverReceived is the age of a report that was never received.
+	NeverReceived = time.Duration(math.MaxInt64)
 
 	// transit is by how much a report may be late without being discounted.
 	transit = 50 * time.Millisecond
-	// silentAfter is the age at which a report says nothing any more: three calm intervals,
+	// expiredAfter is the age at which a report says nothing any more: three calm intervals,
 	// so that two lost messages don't count as silence.
-	silentAfter = 3 * calmInterval
+	expiredAfter = 3 * calmInterval
 	// probeInterval is the time between requests to a zone of which nothing is known.
 	probeInterval = 250 * time.Millisecond
 	// declinedPause is how long a zone gets nothing after it declined, unless it reports.
@@ -30,7 +30,7 @@
 // State is a Report with its age and what may still be sent to the zone.
 type State struct {
 	Report
-	// Age is the time since the report was received, or Unheard.
+	// Age is the time since the report was received, or NeverReceived.
 	Age time.Duration
 	// Free is what may still be sent to the zone.
 	Free int
@@ -247,7 +247,7 @@
 
 func (r *record) age(now time.Duration) time.Duration {
 	if !r.heard {
-		return Unheard
+		return NeverReceived
 	}
 	return now - r.received
 }
@@ -264,7 +264,7 @@
 	if n := int(math.Round(float64(spare) * r.discount(now))); n > 0 {
 		return n
 	}
-	if spare > 0 || r.age(now) >= silentAfter {
+	if spare > 0 || r.age(now) >= expiredAfter {
 		return r.probe(now)
 	}
 	return 0
--- a/pkg/zoneload/zoneload_test.go
+++ b/pkg/zoneload/zoneload_test.go
@@ -147,13 +147,13 @@
 }
 
 // Guards against flooding a zone of which nothing is known, and against never trying it.
-func TestUnheardZoneGetsOneRequestAtATime(t *testing.T) {
+func TestZoneWithoutReportsGetsOneRequestAtATime(t *testing.T) {
 	is := is.New(t)
 	table := newTable()
 	s := table.Zones(begin, "search", []string{"a", "b"})
 	is.Equal(len(s), 1)
 	is.Equal(s[0].Zone, "b")
-	is.Equal(s[0].Age, zoneload.Unheard)
+	is.Equal(s[0].Age, zoneload.NeverReceived)
 	is.Equal(s[0].Free, 1)
 	table.Sent(begin, "search", "b")
 	is.Equal(free(table, begin+249*time.Millisecond), 0)
@@ -241,7 +241,7 @@
 	is.Equal(free(table, begin), 9)
 	table.Sent(begin+time.Minute, "orders", "c")
 	is.Equal(table.Len(), 1)
-	is.Equal(table.Zones(begin+time.Minute, "search", []string{"b"})[0].Age, zoneload.Unheard)
+	is.Equal(table.Zones(begin+time.Minute, "search", []string{"b"})[0].Age, zoneload.NeverReceived)
 }
 
 // Guards against reports that come too late for a crowded zone, and against messages that nobody needs.
