Count a stop's lost requests after the attempts beside its warm-up have begun

Traced: the warm-up requests take 2 s, which is when their answers are overdue, so up to eight attempts begin beside them; one that a target began after the count was taken for a lost request. In 24 traced runs 10 to 16 attempts ran for 8 requests, and the one in which the count grew by 1 afterwards failed so. The count is now taken 0.3 s later; the check is the same.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -72,7 +72,8 @@
 		spacing  = 100 * time.Millisecond
 		targets  = 8
 		// refusalTime is the time within which what can't be served is refused.
-		refusalTime = 300 * time.Millisecond
+		refusalTime  = 300 * time.Millisecond
+		settlingTime = 300 * time.Millisecond
 	)
 	for _, work := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3200 * time.Millisecond, 4500 * time.Millisecond} {
 		t.Run(work.String(), func(t *testing.T) {
@@ -101,6 +102,9 @@
 				}
 				return n
 			}
+			// Attempts beside the warm-up requests, whose answers are overdue after 2 s, may begin until
+			// they are cancelled. One that began after the count was taken for a lost request.
+			time.Sleep(settlingTime)
 			before := executed()
 
 			beganAt := time.Now()
