Believe no answer that ends with its connection before its request is written

Callers got a part of a target's answer as a complete 200: the target answered a long upload at once without a length, sent 700 bytes and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to a write or to a read. If the write of the request got it, the read that followed saw an ordinary end, which for an answer without a length is the end of its body.

internal/answercheck wraps the connection. It follows the request as it is written, and turns the end of the connection into an error unless the request was written whole. This holds in any order: after a successful write of the last byte only a read can be told of a reset, and the read waits for a write of the last byte that hasn't returned, so that no answer to a whole request is refused.

--- /dev/null
+++ b/internal/answercheck/conn.go
@@ -0,0 +1,96 @@
+package answercheck
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRequestUnfinished says that a connection ended before its request was written whole.
+var ErrRequestUnfinished = errors.New("connection ended before the request was written whole")
+
+// Conn is a connection on which one request at a time is sent. Like any net.Conn it may be used by
+// several goroutines.
+type Conn struct {
+	net.Conn
+
+	// writing is held while bytes are being written.
+	writing sync.Mutex
+	// writeFailed is set once a write has failed.
+	writeFailed atomic.Bool
+
+	mu      sync.Mutex // guards request
+	request requestScanner
+}
+
+// NewConn returns a Conn that reads from and writes to a connection that is not in use yet.
+func NewConn(raw net.Conn) *Conn {
+	return &Conn{
+		Conn: raw,
+	}
+}
+
+// DialContext establishes a connection, like net.Dialer.DialContext.
+type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that establishes connections as dial does. Their type is *Conn, and
+// their errors are those of dial.
+func Dial(dial DialContext) DialContext {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(raw), nil
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.scanRequest(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
+// scanRequest follows the request that is about to be written.
+func (c *Conn) scanRequest(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.request.isWhole() {
+		c.request = requestScanner{}
+	}
+	c.request.scan(b)
+}
+
+// Read implements net.Conn. Its error is ErrRequestUnfinished in place of io.EOF if the request
+// wasn't written whole.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && !c.requestWritten() {
+		return n, ErrRequestUnfinished
+	}
+	return n, err
+}
+
+// requestWritten reports whether the last request was written whole, or none was begun. It waits
+// for a write of the request's last byte: the peer may have answered before that write returns.
+func (c *Conn) requestWritten() bool {
+	c.mu.Lock()
+	whole := c.request.isWhole() || !c.request.begun
+	c.mu.Unlock()
+	if !whole {
+		return false
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return !c.writeFailed.Load()
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -1,10 +1,11 @@
 package forward
 
 import (
-	"net"
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"dandelionmux/internal/answercheck"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -13,7 +14,7 @@
 // conn wraps a connection to a target and serves one attempt at a time. Once it
 // is sealed, no further byte is written to it.
 type conn struct {
-	net.Conn
+	*answercheck.Conn
 
 	mu     sync.Mutex
 	owner  *attemptState // the attempt that writes now; nil before the first
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"dandelionmux/internal/answercheck"
 )
 
 // Defaults and limits of a Client.
@@ -95,7 +97,7 @@
 		return nil, err
 	}
 	return &conn{
-		Conn: raw,
+		Conn: answercheck.NewConn(raw),
 	}, nil
 }
 
