entry: keep a test of answers with status 000

An answer with status 000 is refused already (answer-status-invalid, 502 unknown), directly and through another instance; no test had just that status. TestAnswerWithInvalidStatusIsNoAnswer has it now, with and without a length.

--- a/internal/entry/invalid_status_test.go
+++ b/internal/entry/invalid_status_test.go
@@ -56,6 +56,8 @@
 		closes               bool
 	}{
 		{name: "099", answer: "099 Some\r\n" + rest, reason: invalid},
+		{name: "000", answer: "000 None\r\n" + rest, reason: invalid},
+		{name: "000 without a length", answer: "000\r\n\r\ndone", closes: true, reason: invalid},
 		{name: "+20", answer: "+20 Sign\r\n" + rest, reason: invalid},
 		{name: "103 with chunks", answer: "103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", reason: invalid},
 		{name: "199 with an empty body", answer: "199 Some\r\nContent-Length: 0\r\n\r\n", reason: invalid},
@@ -70,43 +72,51 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			start := func(targets int) (*testEnv, *statusTarget) {
-				s := &statusTarget{answer: "HTTP/1.1 " + tt.answer, closes: tt.closes}
-				e := newOverdueEnv(t, targets, 10*timeout)
-				e.document.Services[0].Targets[0].Address = serveConnections(t, s.serve)
-				e.allowAttempts(targets)
-				e.server.client.Timeout = 2 * timeout // a caller that is given 101 reads without end
-				return e, s
-			}
-			e, s := start(1)
-			outcomes := make(chan target.Outcome, 1)
-			wrap := func(s entry.Slot) entry.Slot { return outcomeSlot{Slot: s, outcomes: outcomes} }
-			e.wrap.Store(&wrap)
-			for _, method := range []string{http.MethodGet, http.MethodPost} {
-				got := e.call(method, "/bookings", "")
-				is.Equal(got.status, http.StatusBadGateway)
-				is.Equal(got.header.Get(entry.ReasonHeader), tt.reason)
-				is.True(got.outcome() != entry.OutcomeNotRun)
-				is.Equal(<-outcomes, target.Truncated)
-				is.Equal(len(outcomes), 0)
-				waitUntil(t, func() bool { return s.ended.Load() == s.asked.Load() })
-			}
-			e, s = start(2)
-			refused := int64(0)
-			for range 6 {
-				is.Equal(e.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
-				if got := e.call(http.MethodPost, "/bookings", ""); got.status != http.StatusOK {
-					is.Equal(got.status, http.StatusBadGateway)
-					refused++
-				}
-			}
-			is.True(s.asked.Load() >= refused)
-			is.True(s.asked.Load() > 0)
+			checkBrokenAnswer(t, entry.DefaultDialect(), &statusTarget{answer: "HTTP/1.1 " + tt.answer, closes: tt.closes}, tt.reason)
 		})
 	}
 }
 
+// checkBrokenAnswer checks that what a target sends reaches no caller, counts once as the target's
+// fault, and is never taken for a request that has not run; and that reads are tried elsewhere.
+func checkBrokenAnswer(t *testing.T, dialect entry.Dialect, broken *statusTarget, reason string) {
+	t.Helper()
+	is := is.New(t)
+	start := func(targets int) (*testEnv, *statusTarget) {
+		s := &statusTarget{answer: broken.answer, closes: broken.closes}
+		e := newOverdueEnv(t, targets, 10*timeout)
+		e.document.Services[0].Targets[0].Address = serveConnections(t, s.serve)
+		e.allowAttempts(targets)
+		e.server = serveCallers(t, entry.New(e.dependencies(), entry.WithDialect(dialect)))
+		e.server.client.Timeout = 2 * timeout // a caller that is given 101 reads without end
+		return e, s
+	}
+	e, s := start(1)
+	outcomes := make(chan target.Outcome, 1)
+	wrap := func(s entry.Slot) entry.Slot { return outcomeSlot{Slot: s, outcomes: outcomes} }
+	e.wrap.Store(&wrap)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		got := e.call(method, "/bookings", "")
+		is.Equal(got.status, http.StatusBadGateway)
+		is.Equal(got.header.Get(entry.ReasonHeader), reason)
+		is.True(got.outcome() != entry.OutcomeNotRun)
+		is.Equal(<-outcomes, target.Truncated)
+		is.Equal(len(outcomes), 0)
+		waitUntil(t, func() bool { return s.ended.Load() == s.asked.Load() })
+	}
+	e, s = start(2)
+	refused := int64(0)
+	for range 6 {
+		is.Equal(e.call(http.MethodGet, "/bookings", "").status, http.StatusOK)
+		if got := e.call(http.MethodPost, "/bookings", ""); got.status != http.StatusOK {
+			is.Equal(got.status, http.StatusBadGateway)
+			refused++
+		}
+	}
+	is.True(s.asked.Load() >= refused)
+	is.True(s.asked.Load() > 0)
+}
+
 // Guards against interim answers that are taken for the final one.
 func TestInterimAnswers(t *testing.T) {
 	tests := []struct {
--- a/internal/entry/testenv_test.go
+++ b/internal/entry/testenv_test.go
@@ -100,14 +100,18 @@
 	e.document.Services = []document.Service{service}
 	e.dispatch = dispatch.New(func() time.Duration { return time.Since(e.began) })
 	e.publish()
-	e.server = serveCallers(t, entry.New(entry.Dependencies{
+	e.server = serveCallers(t, entry.New(e.dependencies()))
+	return e
+}
+
+func (e *testEnv) dependencies() entry.Dependencies {
+	return entry.Dependencies{
 		Snapshots:  e,
 		Admission:  e.admission,
 		Claims:     e.claims,
 		Dispatcher: e,
 		Quarantine: e.quarantine,
-	}))
-	return e
+	}
 }
 
 // callerServer serves callers as an instance does.
