Refuse answers that break the syntax of HTTP/1.1

Callers got answers whose head held a blank in the name of a field. The line was not passed on, but what it said was not heeded either: "Content-Length : 4" gave the body and all that followed it, and "Transfer-Encoding : chunked" gave the sizes of the chunks as body. So did a transfer encoding in HTTP/1.0.

Cause: net/http reads heads leniently. It keeps names with blanks under a key that nothing looks up, drops Transfer-Encoding in HTTP/1.0 and Content-Length beside an encoding, joins continued lines, and takes any version and any byte in the reason. When it returns a response, what shows the fault is gone.

The connection still sees it. answercheck follows each head, interim ones too, the chunks of a body and its trailer, and fails the read at the first line that breaks the grammar: version and reason, names and values, the continuation of a field that says how long the body is, and such fields twice or beside each other. It serves targets and other instances alike. The attempt fails as answer-malformed: it counts against its target, is never "not run", and a read is tried elsewhere. Equal lengths, bare line ends, a missing reason and other continued fields stay accepted.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -14,8 +14,8 @@
 // ErrRequestUnfinished says that a connection ended before its request was written whole.
 var ErrRequestUnfinished = errors.New("connection ended before the request was written whole")
 
-// Conn is a connection on which one request at a time is sent. Like any net.Conn it may be used by
-// several goroutines.
+// Conn is a connection on which one request at a time is sent. Its reads check the answers. Like
+// any net.Conn it may be used by several goroutines.
 type Conn struct {
 	net.Conn
 
@@ -24,8 +24,11 @@
 	// writeFailed is set once a write has failed.
 	writeFailed atomic.Bool
 
-	mu      sync.Mutex // guards request
-	request requestScanner
+	mu       sync.Mutex // guards what follows
+	request  requestScanner
+	response responseChecker
+	// malformed is the error of all reads after the first one that failed with ErrMalformed.
+	malformed error
 }
 
 // NewConn returns a Conn that reads from and writes to a connection that is not in use yet.
@@ -63,26 +66,45 @@
 	return n, err
 }
 
-// scanRequest follows the request that is about to be written.
+// scanRequest follows the request that is about to be written. What is read from then on answers
+// it.
 func (c *Conn) scanRequest(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.request.isWhole() {
+	if c.request.isWhole() || !c.request.begun {
 		c.request = requestScanner{}
+		c.response = responseChecker{}
 	}
 	c.request.scan(b)
+	c.response.toHead = c.request.isHead
 }
 
-// Read implements net.Conn. Its error is ErrRequestUnfinished in place of io.EOF if the request
-// wasn't written whole.
+// Read implements net.Conn. Its error wraps ErrMalformed from a line on that breaks the syntax, and
+// is ErrRequestUnfinished in place of io.EOF if the request wasn't written
+// whole.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if sound, malformed := c.checkResponse(b[:n]); malformed != nil {
+		return sound, malformed
+	}
 	if errors.Is(err, io.EOF) && !c.requestWritten() {
 		return n, ErrRequestUnfinished
 	}
 	return n, err
 }
 
+// checkResponse checks bytes that were read, and returns how many come before an error.
+func (c *Conn) checkResponse(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
+	sound, err := c.response.check(b)
+	c.malformed = err
+	return sound, err
+}
+
 // lastWriteWait bounds the wait for a write of a request's last byte after the connection has ended.
 // If the peer has read that byte, the write returns as soon as its goroutine runs.
 const lastWriteWait = time.Second
@@ -106,3 +128,11 @@
 		return false
 	}
 }
+
+// Malformed reports whether something was read that breaks the syntax. The HTTP client may have
+// failed for another reason then.
+func (c *Conn) Malformed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed != nil
+}
--- a/internal/answercheck/request.go
+++ b/internal/answercheck/request.go
@@ -14,6 +14,8 @@
 // requestScanner finds the end of a request. The zero value waits for the first byte.
 type requestScanner struct {
 	begun bool
+	// isHead is set if the method is HEAD.
+	isHead bool
 	// hasHead is set once the head has ended, and left is then how much of the body is missing.
 	hasHead bool
 	left    int64
@@ -50,6 +52,7 @@
 		s.hasHead = true
 		return
 	}
+	s.isHead = s.isHead || strings.HasPrefix(line, "HEAD ")
 	name, value, _ := strings.Cut(line, ":")
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -34,6 +34,7 @@
 	exchange  *exchange
 	response  *http.Response
 	closeConn func()
+	malformed func() bool
 	// release ends the attempt.
 	release func(AttemptResult)
 	// prefix is the beginning of the body, or all of it if complete is set.
@@ -54,6 +55,7 @@
 		exchange:  p.exchange,
 		response:  r.Response,
 		closeConn: r.CloseConn,
+		malformed: r.Malformed,
 		release:   p.release,
 	}
 	if reason := a.rejectReason(p.id, r.Reused); reason != "" {
@@ -85,10 +87,10 @@
 	return p.acceptOrRetry(a)
 }
 
-// bodyFailure returns the outcome of an attempt whose answer broke off while the
-// beginning of its body was read.
+// bodyFailure returns the outcome of an attempt whose answer broke off, or broke the syntax, while
+// the beginning of its body was read.
 func (a *answer) bodyFailure(ctx context.Context) failedAttempt {
-	a.cutShort = true
+	reason := a.breakOff()
 	if ctx.Err() != nil {
 		failure := a.exchange.timeoutFailure()
 		a.finish(failure.outcome)
@@ -98,8 +100,17 @@
 	return failedAttempt{
 		outcome:    target.Truncated,
 		mayHaveRun: true,
-		refusal:    mayHaveRunRefusal("answer-cut-short"),
+		refusal:    mayHaveRunRefusal(reason),
+	}
+}
+
+// breakOff records why the body can't be read any further, and returns the reason.
+func (a *answer) breakOff() string {
+	if a.malformed() {
+		return malformedAnswer
 	}
+	a.cutShort = true
+	return "answer-cut-short"
 }
 
 // acceptOrRetry accepts the answer for the caller, or lets a repeatable request be
@@ -146,8 +157,11 @@
 	return ""
 }
 
-// invalidStatus is the reason of refusals because an answer has a status that none may have.
-const invalidStatus = "answer-status-invalid"
+// Reasons of refusals because an answer has a status that none may have, or isn't HTTP/1.1.
+const (
+	invalidStatus   = "answer-status-invalid"
+	malformedAnswer = "answer-malformed"
+)
 
 // hasValidStatus reports whether an answer's status can be that of a final answer. The HTTP
 // client accepts all of three digits. 101 is none, since no request asks for another protocol.
@@ -427,9 +441,9 @@
 			return nil
 		}
 		if err != nil {
-			a.cutShort = true
+			reason := a.breakOff()
 			a.finish(target.Truncated)
-			return x.abort(a, "answer-cut-short", err)
+			return x.abort(a, reason, err)
 		}
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -535,7 +535,7 @@
 	case ctx.Err() != nil:
 		return p.exchange.timeoutFailure()
 	case err.Malformed:
-		reason := "answer-malformed"
+		reason := malformedAnswer
 		if err.Interim {
 			reason = invalidStatus
 		}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -263,6 +263,7 @@
 		exchange:  x,
 		response:  r.Response,
 		closeConn: r.CloseConn,
+		malformed: r.Malformed,
 		release:   a.releaseAnswer,
 	}
 	result, err := parseRelayResult(r.Response.Header.Get(relayHeader))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,6 +126,9 @@
 	Response *http.Response
 	// Reused is as in Error.
 	Reused bool
+	// Malformed tells, after the body couldn't be read, whether the target sent something that
+	// is no response.
+	Malformed func() bool
 	// CloseConn closes the connection, so that bytes still in flight on it can't
 	// be taken for the response to a later request.
 	CloseConn func()
@@ -251,6 +254,7 @@
 		Response:  response,
 		Reused:    s.reused,
 		CloseConn: s.closeConn,
+		Malformed: s.conn.Load().Malformed,
 	}
 }
 
@@ -284,7 +288,7 @@
 	switch {
 	case s.sent.Load():
 		failure.Stage = Sent
-		failure.Malformed = s.answered.Load() && !failure.ContextDone
+		failure.Malformed = (s.answered.Load() || assigned.Malformed()) && !failure.ContextDone
 		failure.Interim = failure.Malformed && s.interim.Load() > 0
 	case s.gateErr.Load() != nil:
 		failure.Stage = Gated
