forward: take no bytes for an answer that came before the request

A target that sends more bytes behind a complete answer had them taken for the answer to the next request on the connection, if that request came at once. The request id tells on targets that echo it; callers of others got an answer that was not theirs, and one with the mark of a refusal could be taken for "not run".

Cause: net/http reads such bytes together with the answer. Between giving the connection back and looking for unsolicited bytes it may hand it to the next request, and then parses the bytes as its response, even before that request is written.

The connection counts the requests that begin, and for which of them the head of a final answer was read afterwards. An attempt accepts a response only if that covers its own request.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -27,6 +27,9 @@
 	mu       sync.Mutex // guards what follows
 	request  requestScanner
 	response responseChecker
+	// requests counts the requests that have begun, and answered is the last one to which the
+	// head of a final answer was read.
+	requests, answered uint64
 	// malformed is the error of all reads after the first one that failed with ErrMalformed.
 	malformed error
 }
@@ -74,6 +77,7 @@
 	if c.request.isWhole() || !c.request.begun {
 		c.request = requestScanner{}
 		c.response = responseChecker{}
+		c.requests++
 	}
 	c.request.scan(b)
 	c.response.toHead = c.request.isHead
@@ -102,6 +106,9 @@
 	}
 	sound, err := c.response.check(b)
 	c.malformed = err
+	if c.response.hasFinalHead() {
+		c.answered = c.requests
+	}
 	return sound, err
 }
 
@@ -136,3 +143,19 @@
 	defer c.mu.Unlock()
 	return c.malformed != nil
 }
+
+// Requests returns how many requests have begun.
+func (c *Conn) Requests() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests
+}
+
+// Answered reports whether the head of the final answer to a request was read after that request
+// had begun. The first request is 1. Otherwise an answer that the HTTP client has got consists of
+// bytes that came before the request.
+func (c *Conn) Answered(request uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered >= request
+}
--- a/internal/answercheck/response.go
+++ b/internal/answercheck/response.go
@@ -56,6 +56,9 @@
 	chunked bool
 }
 
+// hasFinalHead reports whether the head of the final answer has ended.
+func (r *responseChecker) hasFinalHead() bool { return r.section > inFields }
+
 // check takes further bytes. It returns how many of them there are up to the end of a line that
 // breaks the syntax, and an error that wraps ErrMalformed if there is such a line. The HTTP client
 // can't use such a line, since neither a head nor a chunk ends with it.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -49,6 +49,7 @@
 			return err
 		}
 	}
+	s.request.Store(c.Requests() + 1)
 	s.sent.Store(true)
 	return nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -210,6 +210,8 @@
 	// the response was read.
 	sent     atomic.Bool
 	answered atomic.Bool
+	// request is the number of the request on its connection, stored before sent.
+	request atomic.Uint64
 	// interim counts the responses with status 100 to 199.
 	interim atomic.Int64
 	// gateErr is the error that the gate returned, if it did.
@@ -244,7 +246,11 @@
 	if a.NewConnection {
 		transport = c.newConnections
 	}
-	response, err := transport.RoundTrip(out) //nolint:bodyclose // The caller of Do closes it.
+	response, err := transport.RoundTrip(out)
+	if err == nil && !s.isAnswered() {
+		_ = response.Body.Close()
+		err = errEarlyAnswer
+	}
 	if err != nil {
 		return Failed{
 			Err: s.classifyFailure(ctx, err),
@@ -258,6 +264,15 @@
 	}
 }
 
+// errEarlyAnswer says that an answer consists of bytes that came before the request, such as those
+// behind the answer to the connection's last request.
+var errEarlyAnswer = errors.New("answer before the request")
+
+// isAnswered reports whether the response's header was read after the request had begun.
+func (s *attemptState) isAnswered() bool {
+	return s.sent.Load() && s.conn.Load().Answered(s.request.Load())
+}
+
 // errInterim says that a target's interim response can't be followed by a final one.
 var errInterim = errors.New("interim response as the final one")
 
