Check the answers of stores, lists and other instances' copies too

A write to the platform's store counted as done, with version 0, if the store sent a head without a length and reset the connection while the value was being written. Answers of the store, of our own store, of the instance list and of instances that copy their mirror were believed although their heads broke the syntax.

All of them use answercheck.NewTransport now.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -1,7 +1,6 @@
 package answercheck
 
 import (
-	"context"
 	"io"
 	"net"
 	"sync"
@@ -42,21 +41,6 @@
 	}
 }
 
-// DialContext establishes a connection, like net.Dialer.DialContext.
-type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Dial returns a function that establishes connections as dial does. Their type is *Conn, and
-// their errors are those of dial.
-func Dial(dial DialContext) DialContext {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(raw), nil
-	}
-}
-
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing <- struct{}{}
--- a/internal/answercheck/doc.go
+++ b/internal/answercheck/doc.go
@@ -22,9 +22,7 @@
 //
 //	dialer := &net.Dialer{Timeout: time.Second}
 //	client := &http.Client{
-//		Transport: &http.Transport{
-//			DialContext: answercheck.Dial(dialer.DialContext),
-//		},
+//		Transport: answercheck.NewTransport(dialer.DialContext),
 //	}
 //	response, err := client.Do(request)
 //	if errors.Is(err, answercheck.ErrMalformed) {
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/pkg/store"
 )
 
@@ -124,12 +125,10 @@
 	dialer := &net.Dialer{
 		Timeout: time.Second,
 	}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    8,
-		IdleConnTimeout:        time.Minute,
-		MaxResponseHeaderBytes: 64 << 10,
-	}
+	t := answercheck.NewTransport(dialer.DialContext)
+	t.MaxIdleConnsPerHost = 8
+	t.IdleConnTimeout = time.Minute
+	return t
 }
 
 // refuseRedirect stops the HTTP client from following redirects, which would
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/internal/boot"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/mirror"
@@ -72,12 +73,11 @@
 	dialer := net.Dialer{
 		Timeout: peerDialTimeout,
 	}
+	transport := answercheck.NewTransport(dialer.DialContext)
+	transport.DisableCompression = true
+	transport.IdleConnTimeout = idleTimeout
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableCompression: true,
-			IdleConnTimeout:    idleTimeout,
-		},
+		Transport: transport,
 	}
 }
 
--- a/internal/list/client.go
+++ b/internal/list/client.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/pkg/instance"
 )
 
@@ -46,7 +48,7 @@
 		url: address,
 		http: &http.Client{
 			Timeout:   defaultTimeout,
-			Transport: &http.Transport{},
+			Transport: answercheck.NewTransport(new(net.Dialer).DialContext),
 		},
 	}
 	for _, o := range options {
