Believe no answer of an instance that ends with its connection

An answer relayed by another instance, and a copy of its mirror, counted as whole if they had no length and their connection closed: a caller got "do" of "done", and a copy that was cut between two entries replaced what an instance knew, without the entries that were missing.

Cause: both were read like the answers of targets, which may end with their connection on some deployments. Instances of all builds give a length or send chunks, so an answer without either isn't whole, or isn't theirs: the address may belong to something else by now.

TestRelayedAnswerWithoutLengthIsNoAnswer (200 before) and TestBrokenCopyIsNoCopy/part,_without_a_length failed before. Three tests share checkBrokenRelayedAnswer, with the checks that they had.

--- a/internal/answercheck/transport.go
+++ b/internal/answercheck/transport.go
@@ -26,3 +26,9 @@
 		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
+
+// EndsWithConnection reports whether the body of an answer ends with its connection. If the peer
+// fails, a part of such a body looks like the whole.
+func EndsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/internal/forward"
 	"dandelionmux/internal/ingress"
 	"dandelionmux/pkg/meter"
@@ -148,19 +149,18 @@
 	switch {
 	case d.SignatureHeader != "" && a.response.StatusCode < 300 && a.response.Header.Get(d.SignatureHeader) == "":
 		return "answer-unsigned"
-	case a.exchange.request.Method == http.MethodHead:
-		return ""
-	case !d.AllowUnframed && a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0:
-		// If the body ends with the connection, a truncated one looks complete.
-		return "answer-without-length"
+	case !d.AllowUnframed && answercheck.EndsWithConnection(a.response):
+		return answerWithoutLength
 	}
 	return ""
 }
 
-// Reasons of refusals because an answer has a status that none may have, or isn't HTTP/1.1.
+// Reasons of refusals because of an answer: it has a status that none may have, isn't HTTP/1.1, or
+// ends with its connection where that isn't allowed.
 const (
-	invalidStatus   = "answer-status-invalid"
-	malformedAnswer = "answer-malformed"
+	invalidStatus       = "answer-status-invalid"
+	malformedAnswer     = "answer-malformed"
+	answerWithoutLength = "answer-without-length"
 )
 
 // hasValidStatus reports whether an answer's status can be that of a final answer. The HTTP
--- a/internal/entry/invalid_status_test.go
+++ b/internal/entry/invalid_status_test.go
@@ -148,29 +148,40 @@
 	for _, status := range []string{"099", "101", "600"} {
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			e := newRelayEnv(t, 1, 1)
-			e.allowAttempts(2)
-			e.overdue = &overdueSettings{wait: 10 * timeout, granted: true}
-			e.callers.Client().Timeout = 2 * timeout
-			sound := e.relays.helpers[0]
-			e.relays.helpers[0] = instance.Address(serveConnections(t, func(c net.Conn) {
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				const header = "Dandelionmux-Relay"
-				asked, _ := url.ParseQuery(r.Header.Get(header))
-				result := url.Values{"Request": asked["Request"], "Revision": {"1"}, "Sent": {"1"}}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Some\r\n%s: %s\r\nContent-Length: 4\r\n\r\ndone", status, header, result.Encode())
-			}))
-			got := e.callRelayed(http.MethodPost, "/bookings", "")
-			is.Equal(got.status, http.StatusBadGateway)
-			is.Equal(got.header.Get(entry.ReasonHeader), "answer-status-invalid")
-			is.True(got.outcome() != entry.OutcomeNotRun)
-			e.relays.helpers, e.relays.next = append(e.relays.helpers, sound), 0
-			is.Equal(e.callRelayed(http.MethodGet, "/bookings", "").status, http.StatusOK)
+			got := checkBrokenRelayedAnswer(t, "HTTP/1.1 "+status+" Some\r\nContent-Length: 4\r\n\r\ndone")
+			is.New(t).Equal(got.header.Get(entry.ReasonHeader), "answer-status-invalid")
 		})
 	}
 }
+
+// checkBrokenRelayedAnswer checks that what another instance sends reaches no caller and is never
+// taken for a request that has not run, and that reads go through others. It returns what the
+// caller of a request got that may not be repeated. The fields of an answer to an instance are
+// added to the answer's first head.
+func checkBrokenRelayedAnswer(t *testing.T, answer string) callResult {
+	t.Helper()
+	is := is.New(t)
+	e := newRelayEnv(t, 1, 1)
+	e.allowAttempts(2)
+	e.overdue = &overdueSettings{wait: 10 * timeout, granted: true}
+	e.callers.Client().Timeout = 2 * timeout
+	sound := e.relays.helpers[0]
+	e.relays.helpers[0] = instance.Address(serveConnections(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		const header = "Dandelionmux-Relay"
+		asked, _ := url.ParseQuery(r.Header.Get(header))
+		result := url.Values{"Request": asked["Request"], "Revision": {"1"}, "Sent": {"1"}}
+		marked := fmt.Sprintf("\r\n%s: %s\r\n\r\n", header, result.Encode())
+		_, _ = io.WriteString(c, strings.Replace(answer, "\r\n\r\n", marked, 1))
+	}))
+	got := e.callRelayed(http.MethodPost, "/bookings", "")
+	is.Equal(got.status, http.StatusBadGateway)
+	is.True(got.outcome() != entry.OutcomeNotRun)
+	e.relays.helpers, e.relays.next = append(e.relays.helpers, sound), 0
+	is.Equal(e.callRelayed(http.MethodGet, "/bookings", "").status, http.StatusOK)
+	return got
+}
--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -6,14 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"dandelionmux/internal/entry"
-	"dandelionmux/pkg/instance"
 )
 
 // malformedHeads are answers that break the syntax of HTTP/1.1 before their body. Each of them ends
@@ -70,32 +68,18 @@
 	for _, tt := range malformedHeads {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			e := newRelayEnv(t, 1, 1)
-			e.allowAttempts(2)
-			e.overdue = &overdueSettings{wait: 10 * timeout, granted: true}
-			sound := e.relays.helpers[0]
-			e.relays.helpers[0] = instance.Address(serveConnections(t, func(c net.Conn) {
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				const header = "Dandelionmux-Relay"
-				asked, _ := url.ParseQuery(r.Header.Get(header))
-				result := url.Values{"Request": asked["Request"], "Revision": {"1"}, "Sent": {"1"}}
-				marked := fmt.Sprintf("\r\n%s: %s\r\n\r\n", header, result.Encode())
-				_, _ = io.WriteString(c, strings.Replace(tt.answer, "\r\n\r\n", marked, 1))
-			}))
-			got := e.callRelayed(http.MethodPost, "/bookings", "")
-			is.Equal(got.status, http.StatusBadGateway)
-			is.True(got.outcome() != entry.OutcomeNotRun)
-			e.relays.helpers, e.relays.next = append(e.relays.helpers, sound), 0
-			is.Equal(e.callRelayed(http.MethodGet, "/bookings", "").status, http.StatusOK)
+			checkBrokenRelayedAnswer(t, tt.answer)
 		})
 	}
 }
 
+// Guards against another instance's answer that ends with its connection and is relayed as whole:
+// instances give a length or send chunks, so something else ended it.
+func TestRelayedAnswerWithoutLengthIsNoAnswer(t *testing.T) {
+	got := checkBrokenRelayedAnswer(t, "HTTP/1.1 200 OK\r\nX-More: 1\r\n\r\ndo")
+	is.New(t).Equal(got.header.Get(entry.ReasonHeader), "answer-without-length")
+}
+
 // Guards against odd but valid heads that are refused.
 func TestOddValidAnswerIsRelayed(t *testing.T) {
 	tests := []struct{ name, answer string }{
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/internal/forward"
 	"dandelionmux/pkg/target"
 )
@@ -283,12 +284,12 @@
 		targets: result.targets,
 		counted: true,
 	}
-	if !hasValidStatus(r.Response) {
+	if reason := rejectRelayReason(r.Response); reason != "" {
 		out.finish(target.Truncated)
 		return failedAttempt{
 			outcome:    target.Truncated,
 			mayHaveRun: true,
-			refusal:    mayHaveRunRefusal(invalidStatus),
+			refusal:    mayHaveRunRefusal(reason),
 			relayed:    attempts,
 		}
 	}
@@ -313,6 +314,18 @@
 	}
 }
 
+// rejectRelayReason returns the reason why another instance's answer can't be relayed to the
+// caller, or an empty string if it can.
+func rejectRelayReason(r *http.Response) string {
+	switch {
+	case !hasValidStatus(r):
+		return invalidStatus
+	case answercheck.EndsWithConnection(r): // instances give a length or send chunks
+		return answerWithoutLength
+	}
+	return ""
+}
+
 // checkRefusal returns the outcome of an attempt that the other instance has refused.
 func (a *relayAttempt) checkRefusal(out *answer, result relayResult) attemptOutcome {
 	refusal := parseRefusal(out.response)
--- a/internal/gateway/brokencopy_internal_test.go
+++ b/internal/gateway/brokencopy_internal_test.go
@@ -44,6 +44,7 @@
 		{name: "whole", head: "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"},
 		{name: "blank in a name", head: "HTTP/1.1 200 OK\r\nX More: 1\r\nContent-Length: %d\r\n\r\n", fails: true},
 		{name: "part, with a length", head: "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", cut: last, fails: true},
+		{name: "part, without a length", head: "HTTP/1.1 200 OK\r\nX-Length: %d\r\n\r\n", cut: last, fails: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -453,6 +453,9 @@
 	default:
 		return mirrorCopy{}, errors.Errorf("request mirror: %s", response.Status)
 	}
+	if answercheck.EndsWithConnection(response) { // instances give a length or send chunks
+		return mirrorCopy{}, errors.Wrap(errMalformed, "mirror without a length")
+	}
 	return decodeMirrorCopy(content)
 }
 
