Bound what answers without end of stores and instances take

An instance that asked another one for its mirror, and got bytes without end from whatever had that address, took up to 794 MB (the heap, one request): beyond the memory of most machines, so that the process and the requests of all its callers end. An answer of a store took up to 60 MB a call, where an instance may use 32 MB for control.

Cause: 32 MB of a copy were read, cut there without an error, and decoded up to the cut; small entries take about twenty times their bytes. What a compressed copy grows to was cut the same way.

answercheck.ReadBody reads in segments, joins them only once the end has come in time, and fails otherwise. A copy may have 8 MB, several times what the size to design for needs: a configuration of 1 MB, 5,700 targets and 540 instances with a few hundred bytes each.

TestDecompressedCopyIsBounded failed before.

--- a/internal/etcd/post.go
+++ b/internal/etcd/post.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/pkg/store"
 )
 
@@ -74,13 +75,10 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxResponseBytes+1))
+	content, err := answercheck.ReadBody(answer.Body, maxResponseBytes)
 	if err != nil {
 		return callError(mode, "read: %v", err)
 	}
-	if len(content) > maxResponseBytes {
-		return callError(mode, "the response is larger than %d bytes", maxResponseBytes)
-	}
 	// The response to a renewal is a stream, of which the first frame counts.
 	if err := json.NewDecoder(bytes.NewReader(content)).Decode(response); err != nil {
 		return callError(mode, "decode: %v", err)
--- a/internal/gateway/brokencopy_internal_test.go
+++ b/internal/gateway/brokencopy_internal_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"dandelionmux/internal/answercheck"
 	"dandelionmux/internal/standin"
 	"dandelionmux/pkg/instance"
 	"dandelionmux/pkg/mirror"
@@ -58,3 +61,48 @@
 		})
 	}
 }
+
+// maxControlBytes is the memory that an instance may use for control, by the size to design for.
+const maxControlBytes = 32 << 20
+
+// Guards against an answer without end to a request for a copy, from whatever has an instance's
+// address, that fills the memory of the instance that asked.
+func TestCopyWithoutEndIsBounded(t *testing.T) {
+	entry := string(appendEntries(nil, []store.Entry{{Key: "k"}}))
+	tests := []struct{ name, head, repeated string }{
+		{"fields of the head", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+		{"line of the head", "HTTP/1.1 200 OK\r\nX-More: ", "x"},
+		{"interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"entries", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", entry},
+		{"entries in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(entry), entry)},
+		{"entries without a length", "HTTP/1.1 200 OK\r\n\r\n", entry},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := standin.NewEndlessAnswer(tt.head, tt.repeated)
+			began := time.Now()
+			peak := standin.PeakHeap(func() {
+				_, err := copyFrom(t, func(c *net.TCPConn, _ *http.Request) { _ = endless.Send(c, nil) })
+				is.True(err != nil)
+			})
+			t.Logf("heap %d KB, %d KB sent, after %s", peak>>10, endless.Sent()>>10, time.Since(began).Round(time.Millisecond))
+			is.True(peak <= maxControlBytes)
+			is.True(time.Since(began) < 2*firstCopyTimeout)
+		})
+	}
+}
+
+// Guards against a small copy that becomes large when it is decompressed.
+func TestDecompressedCopyIsBounded(t *testing.T) {
+	is := is.New(t)
+	whole, err := compress(make([]byte, maxCopyBytes))
+	is.NoErr(err)
+	plain, err := decompress(whole)
+	is.NoErr(err)
+	is.Equal(len(plain), maxCopyBytes)
+	larger, err := compress(make([]byte, maxCopyBytes+1))
+	is.NoErr(err)
+	_, err = decompress(larger)
+	is.True(errors.Is(err, answercheck.ErrTooLong))
+}
--- a/internal/gateway/mirrorcopy.go
+++ b/internal/gateway/mirrorcopy.go
@@ -41,9 +41,9 @@
 	firstCopyTimeout = 4 * time.Second
 	// peerDialTimeout bounds connecting to an instance of the same zone.
 	peerDialTimeout = 300 * time.Millisecond
-	// maxCopyBytes bounds an answer. It has room for a configuration of 1 MB and
-	// thousands of targets.
-	maxCopyBytes = 32 << 20
+	// maxCopyBytes bounds an answer, and what it is when it is decompressed. It has room for
+	// a configuration of 1 MB and thousands of targets.
+	maxCopyBytes = 8 << 20
 )
 
 // Field numbers of a mirrorCopy.
@@ -343,9 +343,9 @@
 	return b.Bytes(), nil
 }
 
-// decompress returns what compress was given, up to maxCopyBytes.
+// decompress returns what compress was given, unless that is longer than maxCopyBytes.
 func decompress(content []byte) ([]byte, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(content)), maxCopyBytes))
+	plain, err := answercheck.ReadBody(flate.NewReader(bytes.NewReader(content)), maxCopyBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress")
 	}
@@ -440,7 +440,7 @@
 		return mirrorCopy{}, errors.Wrap(err, "request mirror")
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxCopyBytes))
+	content, err := answercheck.ReadBody(response.Body, maxCopyBytes)
 	if err != nil {
 		return mirrorCopy{}, errors.Wrap(err, "read mirror")
 	}
--- a/internal/list/client.go
+++ b/internal/list/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -100,15 +99,14 @@
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxListBytes+1))
-	if err != nil {
+	content, err := answercheck.ReadBody(answer.Body, maxListBytes)
+	switch {
+	case errors.Is(err, answercheck.ErrTooLong) && answer.StatusCode == http.StatusOK:
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	case err != nil:
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
-	}
-	if answer.StatusCode != http.StatusOK {
+	case answer.StatusCode != http.StatusOK:
 		return nil, errors.Wrapf(ErrUnavailable, "HTTP status %d", answer.StatusCode)
 	}
-	if len(content) > maxListBytes {
-		return nil, errors.Wrapf(ErrMalformed, "larger than %d bytes", maxListBytes)
-	}
 	return content, nil
 }
