--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -64,12 +64,11 @@
 		c.requests++
 	}
 	c.request.scan(b)
-	c.response.toHead = c.request.isHead
+	c.response.methodIsHead = c.request.methodIsHead
 }
 
-// Read implements net.Conn. Its error wraps ErrMalformed from a line on that breaks the syntax, and
-// is ErrRequestUnfinished in place of io.EOF if the request wasn't written
-// whole.
+// Read implements net.Conn. Its error wraps ErrMalformed once a line has come that breaks the syntax,
+// and is ErrRequestUnfinished in place of io.EOF if the request wasn't written whole.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if sound, malformed := c.checkResponse(b[:n]); malformed != nil {
@@ -81,7 +80,8 @@
 	return n, err
 }
 
-// checkResponse checks bytes that were read, and returns how many come before an error.
+// checkResponse checks bytes that were read. It returns how many of them the caller gets, and the
+// error of the first line that breaks the syntax.
 func (c *Conn) checkResponse(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/answercheck/request.go
+++ b/internal/answercheck/request.go
@@ -14,23 +14,23 @@
 // requestScanner finds the end of a request. The zero value waits for the first byte.
 type requestScanner struct {
 	begun bool
-	// isHead is set if the method is HEAD.
-	isHead bool
-	// hasHead is set once the head has ended, and left is then how much of the body is missing.
-	hasHead bool
-	left    int64
+	// methodIsHead is set if the method is HEAD.
+	methodIsHead bool
+	// headEnded is set once the head has ended, and left is then how much of the body is missing.
+	headEnded bool
+	left      int64
 	// line is the beginning of the present line of the head, and lineBytes its length.
 	line      []byte
 	lineBytes int
 }
 
 // isWhole reports whether the request has ended.
-func (s *requestScanner) isWhole() bool { return s.hasHead && s.left <= 0 }
+func (s *requestScanner) isWhole() bool { return s.headEnded && s.left <= 0 }
 
 // scan takes further bytes of the request.
 func (s *requestScanner) scan(b []byte) {
 	s.begun = s.begun || len(b) > 0
-	for len(b) > 0 && !s.hasHead {
+	for len(b) > 0 && !s.headEnded {
 		line, rest, ended := bytes.Cut(b, []byte("\n"))
 		room := min(maxScannedBytes-len(s.line), len(line))
 		s.line = append(s.line, line[:room]...)
@@ -49,10 +49,10 @@
 	empty := len(line) == 0 && s.lineBytes <= 1
 	s.line, s.lineBytes = s.line[:0], 0
 	if empty {
-		s.hasHead = true
+		s.headEnded = true
 		return
 	}
-	s.isHead = s.isHead || strings.HasPrefix(line, "HEAD ")
+	s.methodIsHead = s.methodIsHead || strings.HasPrefix(line, "HEAD ")
 	name, value, _ := strings.Cut(line, ":")
 	switch {
 	case strings.EqualFold(name, "Content-Length"):
--- a/internal/answercheck/response.go
+++ b/internal/answercheck/response.go
@@ -32,8 +32,8 @@
 // value waits for the first byte.
 type responseChecker struct {
 	section section
-	// toHead is set if the answer is to a request with the method HEAD.
-	toHead bool
+	// methodIsHead is set if the request's method is HEAD, so that the answer has no body.
+	methodIsHead bool
 	// partial is the beginning of a line whose end hasn't been read.
 	partial []byte
 	// chunkLeft is how much of a chunk is missing, with its line end.
@@ -122,7 +122,7 @@
 		r.section = inRest
 	case h.isInterim():
 		r.section = inStatusLine
-	case h.chunked && !r.toHead && h.allowsBody():
+	case h.chunked && !r.methodIsHead && h.allowsBody():
 		r.section = inChunkSize
 	default:
 		r.section = inRest
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,7 +24,7 @@
 	// kept to one target.
 	MaxIdleConnsPerTarget = 8
 	// MaxResponseHeaderBytes limits the size of a response's header.
-	MaxResponseHeaderBytes = 64 << 10
+	MaxResponseHeaderBytes = answercheck.MaxHeadBytes
 	// MaxInterimResponses limits the responses with status 100 to 199 before the final one.
 	// net/http leaves that to clients that look at them.
 	MaxInterimResponses = 16
@@ -105,8 +105,8 @@
 type Attempt struct {
 	// Address is the target's address, "IP:port".
 	Address string
-	// Request is the request to send. Do changes it: the host of its URL is
-	// replaced by Address.
+	// Request is the request to send. Its ContentLength is the length of its body. Do
+	// changes it: the host of its URL is replaced by Address.
 	Request *http.Request
 	// NewConnection sends the request on a connection of its own, which is closed after
 	// the answer. If a reused connection breaks, it can't be told whether the target has
