--- a/internal/forward/answer_fuzz_test.go
+++ b/internal/forward/answer_fuzz_test.go
@@ -463,7 +463,7 @@
 	}
 	f.Fuzz(func(t *testing.T, answer []byte, method string, upload, takes int, reset, reportedToWrite bool, part int) {
 		if !slices.Contains([]string{http.MethodGet, http.MethodPost, http.MethodHead}, method) || upload < 0 || upload > 1<<20 || part <= 0 {
-			t.Skip()
+			return
 		}
 		if method != http.MethodPost {
 			upload = 0
