--- a/review/standin-3/lab.go
+++ b/review/standin-3/lab.go
@@ -32,6 +32,8 @@
 	missesToLeave = 2
 	// maxTime bounds a case.
 	maxTime = 115 * time.Second
+	// metricsPort is that of the deploy file.
+	metricsPort = "9464"
 )
 
 // lab holds all that a case plays with.
@@ -41,6 +43,8 @@
 	trouble bool
 	store   *metaStore
 	start   time.Time
+	// taken keeps other cases from using the same addresses.
+	taken net.Listener
 
 	mu      sync.Mutex
 	record  *bufio.Writer
@@ -106,6 +110,9 @@
 	for _, n := range nodes {
 		<-n.done
 	}
+	if l.taken != nil {
+		_ = l.taken.Close()
+	}
 	_ = os.RemoveAll(l.folder)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,7 +153,7 @@
 
 // startNodes starts machines in zones, and waits until all are ready.
 func (l *lab) startNodes(zones []string, perZone int) []*node {
-	network := 16 + rand.IntN(200)
+	network := l.takeNetwork()
 	for z, zone := range zones {
 		for i := range perZone {
 			ip := fmt.Sprintf("127.%d.%d.%d", network, z+1, i+11)
@@ -176,6 +183,19 @@
 	return l.nodes
 }
 
+// takeNetwork returns the second number of loopback addresses that no other case uses meanwhile:
+// all machines serve their counters at the same port.
+func (l *lab) takeNetwork() int {
+	for {
+		network := 16 + rand.IntN(200)
+		taken, err := net.Listen("tcp4", net.JoinHostPort(fmt.Sprintf("127.%d.0.1", network), metricsPort))
+		if err == nil {
+			l.taken = taken
+			return network
+		}
+	}
+}
+
 func freeAddress(ip string) string {
 	l := mustListen(net.JoinHostPort(ip, "0"))
 	defer func() { _ = l.Close() }()
@@ -257,7 +277,7 @@
 	defer func() { _ = log.Close() }()
 	for {
 		// The command of the deploy file.
-		command := exec.Command(n.lab.program, "platform", "-metrics-port", "9464")
+		command := exec.Command(n.lab.program, "platform", "-metrics-port", metricsPort)
 		command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.lab.folder, "DANDELIONMUX_SETTINGS=" + n.settings}
 		command.Stdout, command.Stderr = log, log
 		n.lab.mu.Lock()
